--- /dev/null
+++ b/src/agatepass/base/event_loop.cpp
@@ -0,0 +1,116 @@
+#include "agatepass/base/event_loop.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace agatepass::base {
+
+namespace {
+
+constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
+
+timeval ToTimeval(Duration delay) {
+  const int64_t microseconds = std::max<int64_t>(delay.count(), 0);
+  timeval result;
+  result.tv_sec = microseconds / kMicrosecondsPerSecond;
+  result.tv_usec = microseconds % kMicrosecondsPerSecond;
+  return result;
+}
+
+}  // namespace
+
+LoopEvent::LoopEvent(event_base* loop, int descriptor, int16_t what,
+                     std::function<void()> handler)
+    : handler(std::move(handler)) {
+  this->handle = event_new(loop, descriptor, what, &LoopEvent::Fire, this);
+}
+
+LoopEvent::~LoopEvent() { event_free(this->handle); }
+
+void LoopEvent::Arm(Duration delay) {
+  const timeval interval = ToTimeval(delay);
+  event_add(this->handle, &interval);
+}
+
+void LoopEvent::ArmForever() { event_add(this->handle, nullptr); }
+
+void LoopEvent::Fire(int /*descriptor*/, int16_t /*what*/, void* self) {
+  // A copy, because the handler may destroy the event that it belongs to.
+  const std::function<void()> handler = static_cast<LoopEvent*>(self)->handler;
+  handler();
+}
+
+EventLoop::EventLoop() {
+  evthread_use_pthreads();
+  this->base = event_base_new();
+  this->wake = event_new(
+      this->base, -1, EV_PERSIST,
+      [](evutil_socket_t, int16_t, void* self) {
+        static_cast<EventLoop*>(self)->RunMessages();
+      },
+      this);
+  event_add(this->wake, nullptr);
+}
+
+EventLoop::~EventLoop() {
+  event_free(this->wake);
+  event_base_free(this->base);
+}
+
+void EventLoop::Run() { event_base_loop(this->base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+void EventLoop::RunDueHandlers() {
+  event_base_loop(this->base, EVLOOP_NONBLOCK);
+}
+
+void EventLoop::Stop() {
+  this->Post([this] { event_base_loopbreak(this->base); });
+}
+
+void EventLoop::Post(std::function<void()> message) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->messages.push_back(std::move(message));
+  }
+  event_active(this->wake, EV_READ, 0);
+}
+
+std::unique_ptr<LoopEvent> EventLoop::After(Duration delay,
+                                            std::function<void()> handler) {
+  auto timer =
+      std::make_unique<LoopEvent>(this->base, -1, 0, std::move(handler));
+  timer->Arm(delay);
+  return timer;
+}
+
+std::unique_ptr<LoopEvent> EventLoop::Every(Duration period,
+                                            std::function<void()> handler) {
+  auto timer = std::make_unique<LoopEvent>(this->base, -1, EV_PERSIST,
+                                           std::move(handler));
+  timer->Arm(period);
+  return timer;
+}
+
+std::unique_ptr<LoopEvent> EventLoop::OnSignal(int signal_number,
+                                               std::function<void()> handler) {
+  auto watcher = std::make_unique<LoopEvent>(
+      this->base, signal_number, EV_SIGNAL | EV_PERSIST, std::move(handler));
+  watcher->ArmForever();
+  return watcher;
+}
+
+Instant EventLoop::Now() const { return MonotonicClock::now(); }
+
+void EventLoop::RunMessages() {
+  std::vector<std::function<void()>> due;
+  {
+    const std::lock_guard lock(this->mutex);
+    due.swap(this->messages);
+  }
+  for (const std::function<void()>& message : due) message();
+}
+
+}  // namespace agatepass::base
--- /dev/null
+++ b/src/agatepass/base/event_loop.h
@@ -0,0 +1,100 @@
+/** \file
+ * One libevent loop: timers, signals and messages from other threads.
+ */
+#ifndef AGATEPASS_BASE_EVENT_LOOP_H_
+#define AGATEPASS_BASE_EVENT_LOOP_H_
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "agatepass/base/time.h"
+
+struct event;
+struct event_base;
+
+namespace agatepass::base {
+
+/** A timer or signal handler; destroying it disarms it.
+ *
+ * It must be destroyed on the loop's thread, and before the loop.
+ */
+class LoopEvent {
+ public:
+  LoopEvent(event_base* loop, int descriptor, int16_t what,
+            std::function<void()> handler);
+  ~LoopEvent();
+  LoopEvent(const LoopEvent&) = delete;
+  LoopEvent& operator=(const LoopEvent&) = delete;
+
+  /** Arms the event to fire after `delay`. */
+  void Arm(Duration delay);
+
+  /** Arms the event with no time limit, as signals need it. */
+  void ArmForever();
+
+ private:
+  static void Fire(int descriptor, int16_t what, void* self);
+
+  std::function<void()> handler;
+  event* handle = nullptr;
+};
+
+/** An event loop that runs on the thread that calls Run.
+ *
+ * \code
+ * EventLoop loop;
+ * auto timer = loop.Every(std::chrono::seconds(1), [&] {
+ * task.OnTick(loop.Now()); }); loop.Run(); \endcode
+ */
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /** Runs until Stop is called. */
+  void Run();
+
+  /** Runs the handlers that are due now, and returns without waiting. */
+  void RunDueHandlers();
+
+  /** Makes Run return after the current handler. Callable from any thread. */
+  void Stop();
+
+  /** Runs `message` on the loop's thread. Callable from any thread. */
+  void Post(std::function<void()> message);
+
+  /** Runs `handler` once after `delay`, unless the returned event is destroyed
+   * before. */
+  [[nodiscard]] std::unique_ptr<LoopEvent> After(Duration delay,
+                                                 std::function<void()> handler);
+
+  /** Runs `handler` every `period`, until the returned event is destroyed. */
+  [[nodiscard]] std::unique_ptr<LoopEvent> Every(Duration period,
+                                                 std::function<void()> handler);
+
+  /** Runs `handler` on each arrival of `signal_number`. */
+  [[nodiscard]] std::unique_ptr<LoopEvent> OnSignal(
+      int signal_number, std::function<void()> handler);
+
+  /** Returns the time now on the monotonic clock. */
+  Instant Now() const;
+
+  /** Returns libevent's own handle, for the HTTP classes. */
+  event_base* handle() const { return this->base; }
+
+ private:
+  void RunMessages();
+
+  event_base* base = nullptr;
+  event* wake = nullptr;
+  std::mutex mutex;
+  std::vector<std::function<void()>> messages;
+};
+
+}  // namespace agatepass::base
+
+#endif  // AGATEPASS_BASE_EVENT_LOOP_H_
--- /dev/null
+++ b/src/agatepass/base/http_client.cpp
@@ -0,0 +1,272 @@
+#include "agatepass/base/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <string>
+#include <utility>
+
+#include "fmt/format.h"
+
+namespace agatepass::base {
+
+namespace {
+
+evhttp_cmd_type ToCommand(HttpMethod method) {
+  switch (method) {
+    case HttpMethod::kPost:
+      return EVHTTP_REQ_POST;
+    case HttpMethod::kPut:
+      return EVHTTP_REQ_PUT;
+    case HttpMethod::kDelete:
+      return EVHTTP_REQ_DELETE;
+    case HttpMethod::kGet:
+    case HttpMethod::kOther:
+      break;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+std::string_view FaultName(evhttp_request_error error) {
+  switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+      return "timeout";
+    case EVREQ_HTTP_EOF:
+      return "connection closed";
+    case EVREQ_HTTP_INVALID_HEADER:
+      return "malformed answer";
+    case EVREQ_HTTP_BUFFER_ERROR:
+      return "read or write error";
+    case EVREQ_HTTP_REQUEST_CANCEL:
+      return "cancelled";
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      return "answer too large";
+  }
+  return "unknown fault";
+}
+
+std::string BuildTarget(const HttpRequest& request) {
+  std::string target = request.path;
+  char separator = '?';
+  for (const HttpHeader& parameter : request.query) {
+    char* value =
+        evhttp_uriencode(parameter.value.data(),
+                         static_cast<ssize_t>(parameter.value.size()), 0);
+    target += fmt::format("{}{}={}", separator, parameter.name, value);
+    free(value);
+    separator = '&';
+  }
+  return target;
+}
+
+}  // namespace
+
+/** One connection and the request on it. */
+class HttpClient::Connection {
+ public:
+  Connection(HttpClient& client, const Endpoint& endpoint)
+      : client(client), endpoint(endpoint) {
+    bufferevent* stream =
+        bufferevent_socket_new(client.loop.handle(), -1, BEV_OPT_CLOSE_ON_FREE);
+    this->connection = evhttp_connection_base_bufferevent_new(
+        client.loop.handle(), nullptr, stream, endpoint.address.c_str(),
+        endpoint.port);
+    evhttp_connection_set_max_body_size(
+        this->connection, static_cast<ssize_t>(client.limits.answer_bytes));
+    evhttp_connection_set_closecb(
+        this->connection,
+        [](evhttp_connection*, void* self) {
+          static_cast<Connection*>(self)->closed = true;
+        },
+        this);
+    this->written = evbuffer_add_cb(bufferevent_get_output(stream),
+                                    &Connection::OnWritten, this);
+    this->timer =
+        std::make_unique<LoopEvent>(client.loop.handle(), -1, 0, [this] {
+          this->End({Delivery::kUnknown, {}, "timeout"});
+        });
+  }
+
+  ~Connection() {
+    this->callback = nullptr;
+    bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
+    evbuffer_remove_cb_entry(bufferevent_get_output(stream), this->written);
+    evhttp_connection_set_closecb(this->connection, nullptr, nullptr);
+    evhttp_connection_free(this->connection);
+  }
+
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void Start(const HttpRequest& request, Duration timeout, Callback on_end) {
+    this->callback = std::move(on_end);
+    this->bytes_written = 0;
+    this->fault.clear();
+    evhttp_request* message = evhttp_request_new(&Connection::OnAnswer, this);
+    evhttp_request_set_error_cb(
+        message, [](evhttp_request_error error, void* self) {
+          static_cast<Connection*>(self)->fault = FaultName(error);
+        });
+    evkeyvalq* headers = evhttp_request_get_output_headers(message);
+    evhttp_add_header(headers, "Host", this->endpoint.ToString().c_str());
+    for (const HttpHeader& header : request.headers) {
+      evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(message), request.body.data(),
+                 request.body.size());
+    this->timer->Arm(timeout);
+    const std::string target = BuildTarget(request);
+    const int status = evhttp_make_request(
+        this->connection, message, ToCommand(request.method), target.c_str());
+    if (status != 0) this->EndLater("cannot open a connection");
+  }
+
+  Callback TakeCallback() {
+    ResetTimer();
+    return std::exchange(this->callback, nullptr);
+  }
+
+  bool reusable() const { return !this->closed && !this->broken; }
+
+  HttpClient& client;
+  Endpoint endpoint;
+  Instant idle_since;
+
+ private:
+  static void OnWritten(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                        void* argument) {
+    auto* self = static_cast<Connection*>(argument);
+    bufferevent* stream = evhttp_connection_get_bufferevent(self->connection);
+    // evhttp also empties the buffer when it gives a connection up, with
+    // writing disabled.
+    if ((bufferevent_get_enabled(stream) & EV_WRITE) == 0) return;
+    self->bytes_written += info->n_deleted;
+    self->client.sent += info->n_deleted;
+  }
+
+  static void OnAnswer(evhttp_request* message, void* argument) {
+    auto* self = static_cast<Connection*>(argument);
+    if (message == nullptr || evhttp_request_get_response_code(message) == 0) {
+      self->EndWithFault();
+      return;
+    }
+    HttpOutcome outcome;
+    outcome.delivery = Delivery::kAnswered;
+    outcome.answer.status = evhttp_request_get_response_code(message);
+    const evkeyvalq* headers = evhttp_request_get_input_headers(message);
+    size_t head_bytes = 0;
+    for (const evkeyval* entry = headers->tqh_first; entry != nullptr;
+         entry = entry->next.tqe_next) {
+      outcome.answer.headers.push_back({entry->key, entry->value});
+      head_bytes += outcome.answer.headers.back().name.size() +
+                    outcome.answer.headers.back().value.size();
+    }
+    evbuffer* input = evhttp_request_get_input_buffer(message);
+    outcome.answer.body.resize(evbuffer_get_length(input));
+    evbuffer_remove(input, outcome.answer.body.data(),
+                    outcome.answer.body.size());
+    self->client.received += head_bytes + outcome.answer.body.size();
+    self->End(std::move(outcome));
+  }
+
+  void EndWithFault() {
+    const Delivery delivery =
+        this->bytes_written == 0 ? Delivery::kNotSent : Delivery::kUnknown;
+    this->End(
+        {delivery, {}, this->fault.empty() ? "cannot connect" : this->fault});
+  }
+
+  void End(HttpOutcome outcome) {
+    if (!this->callback) return;
+    if (outcome.delivery != Delivery::kAnswered) this->broken = true;
+    if (outcome.delivery == Delivery::kUnknown && this->bytes_written == 0) {
+      outcome.delivery = Delivery::kNotSent;
+    }
+    this->client.Finish(this, std::move(outcome));
+  }
+
+  void EndLater(std::string_view reason) {
+    this->fault = reason;
+    this->timer =
+        this->client.loop.After(Duration(0), [this] { this->EndWithFault(); });
+  }
+
+  void ResetTimer() {
+    this->timer =
+        std::make_unique<LoopEvent>(this->client.loop.handle(), -1, 0, [this] {
+          this->End({Delivery::kUnknown, {}, "timeout"});
+        });
+  }
+
+  evhttp_connection* connection = nullptr;
+  evbuffer_cb_entry* written = nullptr;
+  std::unique_ptr<LoopEvent> timer;
+  Callback callback;
+  std::string fault;
+  size_t bytes_written = 0;
+  bool closed = false;
+  bool broken = false;
+};
+
+HttpClient::HttpClient(EventLoop& loop, const HttpClientLimits& limits)
+    : loop(loop), limits(limits) {
+  this->retire_event = std::make_unique<LoopEvent>(
+      loop.handle(), -1, 0, [this] { this->retired.clear(); });
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Send(const Endpoint& endpoint, const HttpRequest& request,
+                      Duration timeout, Callback callback) {
+  std::unique_ptr<Connection> connection = this->TakeIdle(endpoint);
+  if (!connection) connection = std::make_unique<Connection>(*this, endpoint);
+  Connection* raw = connection.get();
+  this->active.emplace(raw, std::move(connection));
+  raw->Start(request, timeout, std::move(callback));
+}
+
+std::unique_ptr<HttpClient::Connection> HttpClient::TakeIdle(
+    const Endpoint& endpoint) {
+  const auto entry = this->idle.find(endpoint);
+  if (entry == this->idle.end()) return nullptr;
+  const Instant oldest = this->loop.Now() - this->limits.idle_time;
+  while (!entry->second.empty()) {
+    std::unique_ptr<Connection> connection = std::move(entry->second.back());
+    entry->second.pop_back();
+    if (connection->reusable() && connection->idle_since >= oldest)
+      return connection;
+    this->Retire(std::move(connection));
+  }
+  return nullptr;
+}
+
+void HttpClient::Finish(Connection* connection, HttpOutcome outcome) {
+  const auto entry = this->active.find(connection);
+  if (entry == this->active.end()) return;
+  std::unique_ptr<Connection> owned = std::move(entry->second);
+  this->active.erase(entry);
+  const Callback callback = owned->TakeCallback();
+  std::vector<std::unique_ptr<Connection>>& pool = this->idle[owned->endpoint];
+  if (outcome.delivery != Delivery::kAnswered) {
+    for (std::unique_ptr<Connection>& suspect : pool)
+      this->Retire(std::move(suspect));
+    pool.clear();
+  }
+  if (owned->reusable() && pool.size() < this->limits.idle_connections) {
+    owned->idle_since = this->loop.Now();
+    pool.push_back(std::move(owned));
+  } else {
+    this->Retire(std::move(owned));
+  }
+  callback(std::move(outcome));
+}
+
+void HttpClient::Retire(std::unique_ptr<Connection> connection) {
+  this->retired.push_back(std::move(connection));
+  this->retire_event->Arm(Duration(0));
+}
+
+}  // namespace agatepass::base
--- /dev/null
+++ b/src/agatepass/base/http_client.h
@@ -0,0 +1,83 @@
+/** \file
+ * An HTTP client on an event loop, by evhttp, that tells "not sent" from "may
+ * have been received".
+ */
+#ifndef AGATEPASS_BASE_HTTP_CLIENT_H_
+#define AGATEPASS_BASE_HTTP_CLIENT_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "agatepass/base/event_loop.h"
+#include "agatepass/base/http_message.h"
+
+namespace agatepass::base {
+
+/** Limits of one client. */
+struct HttpClientLimits {
+  size_t answer_bytes = 8 * 1024 * 1024;
+  /** Idle connections kept open for each address. */
+  size_t idle_connections = 4;
+  /** Idle time after which a connection is closed rather than used again. */
+  Duration idle_time = std::chrono::seconds(20);
+};
+
+/** Sends requests over pooled connections, one request at a time on each.
+ *
+ * A connection whose request got no whole answer is closed and never used
+ * again. After such a request the idle connections to that address are closed
+ * too, as they may be silent as well. Destroying the client drops all
+ * callbacks.
+ *
+ * \code
+ * HttpClient client(loop, {});
+ * client.Send(endpoint, request, std::chrono::seconds(2), [](HttpOutcome
+ * outcome) { ... }); \endcode
+ */
+class HttpClient {
+ public:
+  using Callback = std::function<void(HttpOutcome)>;
+
+  HttpClient(EventLoop& loop, const HttpClientLimits& limits);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /** Sends `request`; `callback` runs once, from the loop, within `timeout`. */
+  void Send(const Endpoint& endpoint, const HttpRequest& request,
+            Duration timeout, Callback callback);
+
+  /** Requests without an outcome so far. */
+  size_t in_flight() const { return this->active.size(); }
+
+  /** Bytes handed to the network so far, heads and bodies, for the accounts of
+   * control traffic. */
+  uint64_t bytes_sent() const { return this->sent; }
+
+  /** Bytes of answers received so far. */
+  uint64_t bytes_received() const { return this->received; }
+
+ private:
+  class Connection;
+
+  std::unique_ptr<Connection> TakeIdle(const Endpoint& endpoint);
+  void Finish(Connection* connection, HttpOutcome outcome);
+  void Retire(std::unique_ptr<Connection> connection);
+
+  EventLoop& loop;
+  HttpClientLimits limits;
+  absl::flat_hash_map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle;
+  absl::flat_hash_map<Connection*, std::unique_ptr<Connection>> active;
+  // Connections whose callback is still on the stack; freed from the loop.
+  std::vector<std::unique_ptr<Connection>> retired;
+  std::unique_ptr<LoopEvent> retire_event;
+  uint64_t sent = 0;
+  uint64_t received = 0;
+};
+
+}  // namespace agatepass::base
+
+#endif  // AGATEPASS_BASE_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/agatepass/base/http_server.cpp
@@ -0,0 +1,164 @@
+#include "agatepass/base/http_server.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "agatepass/base/result_code.h"
+#include "fmt/format.h"
+
+namespace agatepass::base {
+
+namespace {
+
+HttpMethod ToMethod(evhttp_cmd_type command) {
+  switch (command) {
+    case EVHTTP_REQ_GET:
+      return HttpMethod::kGet;
+    case EVHTTP_REQ_POST:
+      return HttpMethod::kPost;
+    case EVHTTP_REQ_PUT:
+      return HttpMethod::kPut;
+    case EVHTTP_REQ_DELETE:
+      return HttpMethod::kDelete;
+    default:
+      return HttpMethod::kOther;
+  }
+}
+
+std::vector<HttpHeader> CopyHeaders(const evkeyvalq* source) {
+  std::vector<HttpHeader> headers;
+  for (const evkeyval* entry = source->tqh_first; entry != nullptr;
+       entry = entry->next.tqe_next) {
+    headers.push_back({entry->key, entry->value});
+  }
+  return headers;
+}
+
+std::string CopyBody(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, body.data(), body.size());
+  return body;
+}
+
+void ReadTarget(evhttp_request* request, HttpRequest* result) {
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+  const char* path = evhttp_uri_get_path(uri);
+  const char* query = evhttp_uri_get_query(uri);
+  result->path = path == nullptr ? "/" : path;
+  if (query == nullptr) return;
+  evkeyvalq parameters;
+  if (evhttp_parse_query_str(query, &parameters) == 0)
+    result->query = CopyHeaders(&parameters);
+  evhttp_clear_headers(&parameters);
+}
+
+Endpoint BoundEndpoint(evhttp_bound_socket* socket) {
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(evhttp_bound_socket_get_fd(socket),
+              reinterpret_cast<sockaddr*>(&address), &length);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+  return Endpoint{text.data(), ntohs(address.sin_port)};
+}
+
+void OnConnectionClosed(evhttp_connection* /*connection*/, void* argument) {
+  auto* state = static_cast<HttpResponder::State*>(argument);
+  state->request = nullptr;
+  const std::function<void()> on_done = std::move(state->on_done);
+  if (on_done) on_done();
+}
+
+}  // namespace
+
+void HttpResponder::Respond(const HttpAnswer& answer) const {
+  if (!this->open()) return;
+  evhttp_request* request = std::exchange(this->state->request, nullptr);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr,
+                                nullptr);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  for (const HttpHeader& header : answer.headers) {
+    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+  }
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, answer.body.data(), answer.body.size());
+  evhttp_send_reply(request, answer.status, nullptr, body);
+  evbuffer_free(body);
+  const std::function<void()> on_done = std::move(this->state->on_done);
+  if (on_done) on_done();
+}
+
+HttpServer::HttpServer(EventLoop& loop, const HttpServerLimits& limits,
+                       Handler handler)
+    : handler(std::move(handler)),
+      responders(std::make_shared<
+                 std::vector<std::shared_ptr<HttpResponder::State>>>()) {
+  this->server = evhttp_new(loop.handle());
+  evhttp_set_max_headers_size(this->server,
+                              static_cast<ssize_t>(limits.header_bytes));
+  evhttp_set_max_body_size(this->server,
+                           static_cast<ssize_t>(limits.body_bytes));
+  evhttp_set_timeout(this->server,
+                     static_cast<int>(ToSeconds(limits.idle_time)));
+  evhttp_set_gencb(this->server, &HttpServer::OnRequest, this);
+}
+
+HttpServer::~HttpServer() {
+  for (const auto& state : *this->responders) {
+    state->on_done = nullptr;
+    if (state->request == nullptr) continue;
+    evhttp_connection_set_closecb(evhttp_request_get_connection(state->request),
+                                  nullptr, nullptr);
+    state->request = nullptr;
+  }
+  evhttp_free(this->server);
+}
+
+absl::Status HttpServer::Listen(const Endpoint& endpoint) {
+  this->socket = evhttp_bind_socket_with_handle(
+      this->server, endpoint.address.c_str(), endpoint.port);
+  if (this->socket == nullptr) {
+    return ErrorStatus(
+        ResultCode::kInvalidRequest,
+        fmt::format("cannot listen on address \"{}\"", endpoint.ToString()));
+  }
+  this->bound = BoundEndpoint(this->socket);
+  return absl::OkStatus();
+}
+
+void HttpServer::StopListening() {
+  if (this->socket == nullptr) return;
+  evhttp_del_accept_socket(this->server, std::exchange(this->socket, nullptr));
+}
+
+void HttpServer::OnRequest(evhttp_request* request, void* self) {
+  static_cast<HttpServer*>(self)->Receive(request);
+}
+
+void HttpServer::Receive(evhttp_request* request) {
+  auto state = std::make_shared<HttpResponder::State>();
+  state->request = request;
+  this->responders->push_back(state);
+  state->on_done = [responders = this->responders, raw = state.get()] {
+    std::erase_if(*responders,
+                  [raw](const auto& entry) { return entry.get() == raw; });
+  };
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                &OnConnectionClosed, state.get());
+  HttpRequest received;
+  received.method = ToMethod(evhttp_request_get_command(request));
+  received.headers = CopyHeaders(evhttp_request_get_input_headers(request));
+  ReadTarget(request, &received);
+  received.body = CopyBody(request);
+  this->handler(std::move(received), HttpResponder(std::move(state)));
+}
+
+}  // namespace agatepass::base
--- /dev/null
+++ b/src/agatepass/base/http_server.h
@@ -0,0 +1,107 @@
+/** \file
+ * An HTTP server on an event loop, by evhttp. Requests may be answered at once
+ * or later.
+ */
+#ifndef AGATEPASS_BASE_HTTP_SERVER_H_
+#define AGATEPASS_BASE_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "agatepass/base/event_loop.h"
+#include "agatepass/base/http_message.h"
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace agatepass::base {
+
+/** Limits of one server. */
+struct HttpServerLimits {
+  size_t header_bytes = 16 * 1024;
+  size_t body_bytes = 1024 * 1024;
+  /** Time after which a silent connection is closed. */
+  Duration idle_time = std::chrono::seconds(60);
+};
+
+/** The open end of one request: answers it once, now or later.
+ *
+ * Copies share the request. Answers after the first, or after the caller has
+ * gone, are dropped.
+ */
+class HttpResponder {
+ public:
+  /** The request behind the copies; `request` is null once answered or
+   * abandoned. */
+  struct State {
+    evhttp_request* request = nullptr;
+    std::function<void()> on_done;
+  };
+
+  HttpResponder() = default;
+  explicit HttpResponder(std::shared_ptr<State> state)
+      : state(std::move(state)) {}
+
+  /** Sends the whole answer. */
+  void Respond(const HttpAnswer& answer) const;
+
+  /** Whether the caller still waits for the answer. */
+  bool open() const { return this->state && this->state->request != nullptr; }
+
+ private:
+  std::shared_ptr<State> state;
+};
+
+/** Listens on one address and passes each request to a handler.
+ *
+ * \code
+ * HttpServer server(loop, {}, [](HttpRequest request, HttpResponder responder)
+ * { responder.Respond({.status = 200, .body = "hello"});
+ * });
+ * absl::Status status = server.Listen({"127.0.0.1", 8080});
+ * \endcode
+ */
+class HttpServer {
+ public:
+  using Handler = std::function<void(HttpRequest, HttpResponder)>;
+
+  HttpServer(EventLoop& loop, const HttpServerLimits& limits, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /** Binds and listens; port 0 takes a free one, see endpoint().
+   * \return kInvalidRequest with the address named if it cannot be bound.
+   */
+  absl::Status Listen(const Endpoint& endpoint);
+
+  /** Closes the listening socket; open connections go on. */
+  void StopListening();
+
+  /** The address listened on, with the real port. */
+  const Endpoint& endpoint() const { return this->bound; }
+
+  /** Requests that have been received and not yet answered. */
+  size_t in_flight() const { return this->responders->size(); }
+
+ private:
+  static void OnRequest(evhttp_request* request, void* self);
+  void Receive(evhttp_request* request);
+
+  Handler handler;
+  evhttp* server = nullptr;
+  evhttp_bound_socket* socket = nullptr;
+  Endpoint bound;
+  // Shared with the responders, which may outlive the server.
+  std::shared_ptr<std::vector<std::shared_ptr<HttpResponder::State>>>
+      responders;
+};
+
+}  // namespace agatepass::base
+
+#endif  // AGATEPASS_BASE_HTTP_SERVER_H_
