--- /dev/null
+++ b/src/agatepass/membership/rendezvous.h
@@ -0,0 +1,27 @@
+/** \file
+ * Rendezvous hashing: which of several hosts should hold an item, agreed on
+ * without messages by all that see the same hosts.
+ */
+#ifndef AGATEPASS_MEMBERSHIP_RENDEZVOUS_H_
+#define AGATEPASS_MEMBERSHIP_RENDEZVOUS_H_
+
+#include <span>
+#include <string_view>
+
+#include "agatepass/base/identifier.h"
+
+namespace agatepass::membership {
+
+/** Returns the host in `hosts` with the highest hash for `item`; an empty id
+ * if there are none. A host that leaves moves only the items that it held.
+ *
+ * \code
+ * base::HostId owner = ChooseByRendezvous("uus-a-w17", live_hosts);
+ * \endcode
+ */
+base::HostId ChooseByRendezvous(std::string_view item,
+                                std::span<const base::HostId> hosts);
+
+}  // namespace agatepass::membership
+
+#endif  // AGATEPASS_MEMBERSHIP_RENDEZVOUS_H_
