--- /dev/null
+++ b/src/agatepass/placement/usage_history.h
@@ -0,0 +1,64 @@
+/** \file
+ * What earlier tasks of a workload used, and how long they ran.
+ */
+#ifndef AGATEPASS_PLACEMENT_USAGE_HISTORY_H_
+#define AGATEPASS_PLACEMENT_USAGE_HISTORY_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "agatepass/base/time.h"
+#include "agatepass/placement/policy.h"
+#include "agatepass/platform/resources.h"
+
+namespace agatepass::placement {
+
+/** Learns use and run time of each workload from its ended tasks.
+ *
+ * \code
+ * history.Record(workload, used, run_time);
+ * if (auto grant = history.Grant(workload, declared, margins)) { ... }
+ * \endcode
+ */
+class UsageHistory {
+ public:
+  /** Records one ended task. \param used its peak use. */
+  void Record(uint32_t workload, const platform::Resources& used,
+              base::Duration run_time);
+
+  /** Returns the room to grant to a task, or nothing while too few tasks have
+   * ended. Accelerators are granted as declared. */
+  std::optional<platform::Resources> Grant(uint32_t workload,
+                                           const platform::Resources& declared,
+                                           const Margins& margins) const;
+
+  /** Returns a run time that nine of ten tasks kept below; nothing while too
+   * few have ended. */
+  std::optional<base::Duration> LongRunTime(uint32_t workload) const;
+
+ private:
+  // Tasks remembered of each workload.
+  static constexpr uint32_t kWindow = 64;
+
+  struct Samples {
+    uint32_t recorded = 0;
+    std::array<int64_t, kWindow> millicores{};
+    std::array<int64_t, kWindow> memory_mib{};
+    std::array<int64_t, kWindow> run_time{};
+    // Percentiles as of the last recalculation.
+    mutable double percentile = -1;
+    mutable uint32_t calculated_at = 0;
+    mutable platform::Resources at_percentile;
+  };
+
+  static int64_t Percentile(const std::array<int64_t, kWindow>& values,
+                            uint32_t count, double percentile);
+
+  std::vector<Samples> workloads;
+};
+
+}  // namespace agatepass::placement
+
+#endif  // AGATEPASS_PLACEMENT_USAGE_HISTORY_H_
