--- a/src/agatepass/placement/usage_history.cpp
+++ b/src/agatepass/placement/usage_history.cpp
@@ -11,9 +11,12 @@
 constexpr uint32_t kRunTimeSamples = 5;
 constexpr double kLongRunPercentile = 0.9;
 
-/** Returns `amount` times `factor`, rounded up, and at least 1 if it was. */
+/** Returns `amount` times `factor`, rounded up but for the factor's own
+ * imprecision. */
 int64_t Scale(int64_t amount, double factor) {
-  return static_cast<int64_t>(std::ceil(static_cast<double>(amount) * factor));
+  constexpr double kImprecision = 1e-6;
+  return static_cast<int64_t>(
+      std::ceil(static_cast<double>(amount) * factor - kImprecision));
 }
 
 }  // namespace
