--- a/src/agatepass/jobs/adoption.cpp
+++ b/src/agatepass/jobs/adoption.cpp
@@ -105,7 +105,13 @@
     PlanDiscard(*segments, reply, step);
     return std::nullopt;
   }
-  if (segments->empty()) return SealedJournal{dead, std::nullopt, false, {}};
+  if (segments->empty()) {
+    // Even a host that has journalled nothing may be about to record jobs that
+    // it has adopted itself.
+    step.next = SealCall({dead, 1, kSealWrite, this->self, {}}, 0);
+    step.read = false;
+    return std::nullopt;
+  }
   Segment tail = segments->back();
   const platform::Revision revision = reply.entries.back().revision;
   if (tail.sealed_by && *tail.sealed_by != this->self &&
--- a/src/agatepass/jobs/journal.cpp
+++ b/src/agatepass/jobs/journal.cpp
@@ -148,7 +148,11 @@
       this->clean_after && *this->clean_after <= this->committed_position;
   const bool has_tail = !this->segments.empty();
   const bool check = this->verify_wanted && has_tail && !this->WriteIsDue(now);
-  if (check || (this->suspect && (this->WriteIsDue(now) || has_tail))) {
+  if (this->tail_missing) {
+    next.verb = platform::StoreVerb::kList;
+    next.key = JournalKeyPrefix(this->self);
+    kind = CallKind::kSealCheck;
+  } else if (check || (this->suspect && (this->WriteIsDue(now) || has_tail))) {
     // A cheap read tells whether the store is back, and still the same one.
     const uint64_t segment =
         this->segments.empty() ? 1 : this->segments.rbegin()->first;
@@ -178,7 +182,8 @@
   this->call.reset();
   if (this->condition != JournalState::kOpen) return true;
   const auto unsure = [this] {
-    return this->suspect || this->condition != JournalState::kOpen;
+    return this->suspect || this->tail_missing ||
+           this->condition != JournalState::kOpen;
   };
   switch (kind) {
     case CallKind::kWrite:
@@ -190,6 +195,9 @@
     case CallKind::kDelete:
       this->OnDeleteReply(reply, now);
       return true;
+    case CallKind::kSealCheck:
+      this->OnSealCheckReply(reply, now);
+      return true;
   }
   // A refused write that was this journal's own proves as much as a new one.
   if (!unsure()) this->verified = sent;
@@ -235,7 +243,11 @@
 void Journal::Judge(const platform::StoreReply& reply) {
   const platform::StoreEntry entry = FirstEntry(reply);
   const auto found = DecodeSegment(entry.value);
-  if (entry.revision == 0 || !found.ok()) {
+  if (entry.revision == 0) {
+    this->tail_missing = true;
+    return;
+  }
+  if (!found.ok()) {
     this->condition = JournalState::kContentChanged;
     return;
   }
@@ -290,12 +302,27 @@
       this->segments.empty() ? 0 : this->segments.rbegin()->second.revision;
   if (entry.revision != known) {
     this->Judge(reply);
-    if (this->condition != JournalState::kOpen) return;
+    if (this->tail_missing || this->condition != JournalState::kOpen) return;
   }
   this->suspect = false;
   this->delay.Reset();
 }
 
+void Journal::OnSealCheckReply(const platform::StoreReply& reply,
+                               base::Instant now) {
+  if (reply.outcome != platform::Outcome::kDone) {
+    this->Suspect(now);
+    return;
+  }
+  this->condition = JournalState::kContentChanged;
+  for (const platform::StoreEntry& entry : reply.entries) {
+    const auto segment = DecodeSegment(entry.value);
+    if (segment.ok() && segment->sealed_by) {
+      this->condition = JournalState::kFenced;
+    }
+  }
+}
+
 void Journal::OnDeleteReply(const platform::StoreReply& reply,
                             base::Instant now) {
   if (reply.outcome == platform::Outcome::kDone ||
@@ -339,7 +366,7 @@
   if (this->condition != JournalState::kOpen || this->call) return std::nullopt;
   if (this->suspect) return this->retry_at;
   const bool check = this->verify_wanted && !this->segments.empty();
-  if (this->write || check) return base::Instant::min();
+  if (this->write || check || this->tail_missing) return base::Instant::min();
   std::optional<base::Instant> wake;
   for (const Pending& item : this->pending) {
     if (!wake || item.due < *wake) wake = item.due;
--- a/src/agatepass/jobs/journal.h
+++ b/src/agatepass/jobs/journal.h
@@ -142,7 +142,7 @@
     platform::Revision revision = 0;
     size_t bytes = 0;
   };
-  enum class CallKind : uint8_t { kWrite, kProbe, kDelete };
+  enum class CallKind : uint8_t { kWrite, kProbe, kDelete, kSealCheck };
   struct OpenCall {
     uint64_t id = 0;
     CallKind kind = CallKind::kWrite;
@@ -158,6 +158,7 @@
   void OnProbeReply(const platform::StoreReply& reply, base::Instant now);
   void OnDeleteReply(const platform::StoreReply& reply, base::Instant now);
   void Judge(const platform::StoreReply& reply);
+  void OnSealCheckReply(const platform::StoreReply& reply, base::Instant now);
   void Commit(const platform::StoreEntry& entry);
   void Suspect(base::Instant now);
   size_t TotalBytes() const;
@@ -183,6 +184,8 @@
   /** When the last call was sent that found the journal unsealed. */
   std::optional<base::Instant> verified;
   bool verify_wanted = false;
+  /** The newest segment is gone: either adopted and deleted, or lost. */
+  bool tail_missing = false;
   bool suspect = false;
   base::Instant retry_at;
 };
--- a/src/agatepass/jobs/tests/job_cell.h
+++ b/src/agatepass/jobs/tests/job_cell.h
@@ -35,7 +35,10 @@
     return spec;
   }
 
-  JobCell() { this->store.SetLatency(milliseconds(2)); }
+  JobCell() {
+    this->store.SetLatency(milliseconds(2));
+    this->store.RunUntil(this->time.now);
+  }
 
   void Run(base::Duration span) {
     fakes::RunFor(span, this->store, this->time, {&this->first, &this->second});
