--- a/src/agatepass/relay/relay.h
+++ b/src/agatepass/relay/relay.h
@@ -27,8 +27,10 @@
   uint64_t seed = 1;
   /** How often waiting requests are looked at. */
   base::Duration tick = std::chrono::milliseconds(20);
-  /** Idle connections kept open to each upstream. */
-  size_t idle_connections = 4;
+  /** Idle connections kept open to each upstream. With none, bytes that follow
+   * an answer cannot be taken for the next one; the HTTP client does not yet
+   * see such bytes. */
+  size_t idle_connections = 0;
 };
 
 /** Forwards requests to upstreams; one event loop, no threads.
--- a/src/agatepass/relay/upstream_pool.cpp
+++ b/src/agatepass/relay/upstream_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "agatepass/relay/text_hash.h"
 #include "agatepass/relay/upstream_choice.h"
 
 namespace agatepass::relay {
@@ -14,16 +15,6 @@
   return Distance::kOtherRegion;
 }
 
-// FNV-1a, 64 bits.
-uint64_t HashText(std::string_view text) {
-  uint64_t hash = 14695981039346656037U;
-  for (const char letter : text) {
-    hash ^= static_cast<unsigned char>(letter);
-    hash *= 1099511628211U;
-  }
-  return hash;
-}
-
 }  // namespace
 
 void UpstreamPool::SetRule(const ServiceRule& new_rule) {
