--- a/src/agatepass/jobs/job_keeper.cpp
+++ b/src/agatepass/jobs/job_keeper.cpp
@@ -178,4 +178,15 @@
   return this->journal.idle() && this->claims.idle() && this->adoptions.idle();
 }
 
+const JobRecord* JobKeeper::FindRecord(const base::JobId& job) const {
+  const auto entry = this->jobs.find(job);
+  return entry == this->jobs.end() ? nullptr : &entry->second.record;
+}
+
+std::vector<base::JobId> JobKeeper::JobIds() const {
+  std::vector<base::JobId> ids;
+  for (const auto& [id, state] : this->jobs) ids.push_back(id);
+  return ids;
+}
+
 }  // namespace agatepass::jobs
--- a/src/agatepass/jobs/job_keeper.h
+++ b/src/agatepass/jobs/job_keeper.h
@@ -176,6 +176,12 @@
   absl::StatusOr<JobView> Find(const base::JobId& job,
                                const base::TeamId& team) const;
 
+  /** The record of a job, whoever asks; null if it is not kept here. */
+  const JobRecord* FindRecord(const base::JobId& job) const;
+
+  /** The ids of all jobs kept here, in order. */
+  std::vector<base::JobId> JobIds() const;
+
   /** Reads the journals' names; they come in `effects.journals`. */
   void ListJournals(base::Instant now, Effects& effects);
 
--- a/src/agatepass/membership/worker_ownership.cpp
+++ b/src/agatepass/membership/worker_ownership.cpp
@@ -144,7 +144,7 @@
   worker.lapses = lapses;
   worker.next_call = sent.sent + this->options.renew_period;
   effects->gained.push_back(
-      {sent.worker, reply.epoch, reply.total, reply.tasks});
+      {sent.worker, reply.epoch, reply.total, sent.sent, reply.tasks});
 }
 
 void WorkerOwnership::TakeRenewal(const Pending& sent, const WorkerReply& reply,
@@ -164,7 +164,7 @@
     return;
   }
   worker.lapses = std::max(worker.lapses, sent.sent + this->options.lease);
-  effects->reports.push_back({sent.worker, reply.tasks});
+  effects->reports.push_back({sent.worker, sent.sent, reply.tasks});
 }
 
 OwnershipEffects WorkerOwnership::OnStaleEpoch(const WorkerId& worker,
@@ -178,6 +178,15 @@
   return effects;
 }
 
+OwnershipEffects WorkerOwnership::Reclaim(const WorkerId& worker, Instant now) {
+  OwnershipEffects effects;
+  const auto entry = this->by_id.find(worker);
+  if (entry == this->by_id.end()) return effects;
+  if (entry->second.state != State::kHeld || this->draining) return effects;
+  this->Send(worker, entry->second, WorkerVerb::kClaim, now, &effects);
+  return effects;
+}
+
 void WorkerOwnership::Acknowledge(const WorkerId& worker,
                                   const base::TaskId& task) {
   const auto entry = this->by_id.find(worker);
--- a/src/agatepass/membership/worker_ownership.h
+++ b/src/agatepass/membership/worker_ownership.h
@@ -42,6 +42,8 @@
   base::WorkerId worker;
   platform::Epoch epoch = 0;
   platform::Resources total;
+  /** When the claim was sent. */
+  base::Instant asked;
   std::vector<platform::TaskReport> tasks;
 };
 
@@ -54,6 +56,8 @@
 /** A fresh report of a worker that is held. */
 struct WorkerReported {
   base::WorkerId worker;
+  /** When the renewal was sent: what started since may be missing. */
+  base::Instant asked;
   std::vector<platform::TaskReport> tasks;
 };
 
@@ -102,6 +106,11 @@
   /** Lets the worker forget `task` with the next renewal. */
   void Acknowledge(const base::WorkerId& worker, const base::TaskId& task);
 
+  /** Claims a held worker anew: its answer proves what it runs, and a start
+   * that is still on its way is refused by the raised epoch. Comes back as
+   * gained. Does nothing for a worker that is not held. */
+  OwnershipEffects Reclaim(const base::WorkerId& worker, base::Instant now);
+
   /** Gives every worker up; none is claimed again. */
   OwnershipEffects Drain(base::Instant now);
 
--- /dev/null
+++ b/src/agatepass/node/host_task.cpp
@@ -0,0 +1,171 @@
+#include "agatepass/node/host_task.h"
+
+#include <utility>
+
+#include "spdlog/spdlog.h"
+
+namespace agatepass::node {
+
+using base::Instant;
+using base::WallTime;
+
+namespace {
+
+constexpr base::Duration kTickPeriod = std::chrono::milliseconds(20);
+
+EntryHostOptions MakeOptions(const settings::HostSettings& settings) {
+  EntryHostOptions options;
+  // The wall clock at the start numbers the incarnations of one host.
+  const auto started = base::ReadWallClock().microseconds;
+  options.self = {settings.host, static_cast<uint64_t>(started)};
+  options.data_centre = settings.data_centre;
+  options.ownership.lease = settings.owner_lease;
+  options.ownership.renew_period = settings.renew_period;
+  options.task_lease = settings.task_lease;
+  options.jobs.data_centre = settings.data_centre;
+  options.jobs.journal.interval = settings.commit_interval;
+  options.jobs.task_lease = settings.task_lease;
+  options.seed = options.self.number;
+  return options;
+}
+
+relay::RelaySettings MakeRelaySettings(const settings::HostSettings& settings) {
+  relay::RelaySettings result;
+  result.place = {settings.region, settings.data_centre};
+  result.seed = static_cast<uint64_t>(base::ReadWallClock().microseconds);
+  return result;
+}
+
+/** Runs the callback that waits for `answer`, if there is one. */
+template <typename Waiting, typename Answer>
+void Reply(Waiting& waiting, uint64_t number, const Answer& answer) {
+  const auto entry = waiting.find(number);
+  if (entry == waiting.end()) return;
+  const auto callback = std::move(entry->second);
+  waiting.erase(entry);
+  callback(answer);
+}
+
+}  // namespace
+
+HostTask::HostTask(base::EventLoop& loop,
+                   const settings::HostSettings& settings)
+    : loop(loop),
+      settings(settings),
+      store(loop, settings.store),
+      workers(loop),
+      host_list(loop, settings.host_list),
+      entry_host(MakeOptions(settings)),
+      driver(this->entry_host, this->store, this->workers, this->clock,
+             [this](Effects& effects) { this->TakeEffects(effects); }),
+      request_task(loop, MakeRelaySettings(settings)),
+      events(settings.host, {}) {}
+
+void HostTask::Start() {
+  this->ReadHostList();
+  this->ticker = this->loop.Every(kTickPeriod, [this] {
+    this->driver.Run([this](Instant now, WallTime wall, Effects& effects) {
+      this->entry_host.OnTick(now, wall, effects);
+    });
+    this->CheckDrained();
+  });
+}
+
+void HostTask::Submit(
+    const jobs::JobSpec& spec,
+    std::function<void(const jobs::SubmissionAnswer&)> callback) {
+  this->driver.Run([&](Instant now, WallTime wall, Effects& effects) {
+    const uint64_t number = this->entry_host.Submit(spec, now, wall, effects);
+    this->submissions[number] = std::move(callback);
+  });
+}
+
+void HostTask::Cancel(const base::JobId& job, const base::TeamId& team,
+                      std::function<void(const jobs::CancelAnswer&)> callback) {
+  this->driver.Run([&](Instant now, WallTime wall, Effects& effects) {
+    const uint64_t number =
+        this->entry_host.Cancel(job, team, now, wall, effects);
+    this->cancels[number] = std::move(callback);
+  });
+}
+
+void HostTask::Settle(const base::JobId& job, uint32_t index, bool ran,
+                      std::string_view who,
+                      std::function<void(const jobs::SettleAnswer&)> callback) {
+  this->driver.Run([&](Instant now, WallTime wall, Effects& effects) {
+    const uint64_t number =
+        this->entry_host.Settle(job, index, ran, who, now, wall, effects);
+    this->settles[number] = std::move(callback);
+  });
+}
+
+void HostTask::SetPolicy(const placement::Policy& policy) {
+  this->entry_host.SetPolicy(policy);
+}
+
+void HostTask::Drain(std::function<void()> done) {
+  this->draining = true;
+  this->on_drained = std::move(done);
+  this->request_task.StopAccepting();
+  this->driver.Run([this](Instant now, WallTime wall, Effects& effects) {
+    this->entry_host.Drain(now, wall, effects);
+  });
+}
+
+void HostTask::CheckDrained() {
+  if (!this->on_drained || !this->entry_host.idle()) return;
+  if (this->request_task.in_flight() > 0) return;
+  const auto done = std::exchange(this->on_drained, nullptr);
+  done();
+}
+
+void HostTask::ReadHostList() {
+  this->host_list.Read([this](const platform::HostListReply& reply) {
+    this->TakeHostList(reply);
+    this->list_timer = this->loop.After(this->settings.host_list_period,
+                                        [this] { this->ReadHostList(); });
+  });
+}
+
+void HostTask::TakeHostList(const platform::HostListReply& reply) {
+  // An unreachable list leaves the last one in force.
+  if (reply.outcome != platform::Outcome::kDone) return;
+  this->list = reply.hosts;
+  this->has_hosts = true;
+  this->workers.SetHosts(this->list);
+  this->request_task.SetUpstreams(this->list);
+  std::vector<base::HostId> live;
+  for (const platform::HostRecord& host : this->list) {
+    const bool is_peer = host.role == platform::HostRole::kEntryHost &&
+                         host.state == platform::HostState::kLive &&
+                         host.data_centre == this->settings.data_centre;
+    if (is_peer) live.emplace_back(host.name);
+  }
+  this->entry_host.SetPeers(live, {});
+  this->driver.Run([this](Instant now, WallTime wall, Effects& effects) {
+    this->entry_host.SetHosts(this->list, now, wall, effects);
+  });
+}
+
+void HostTask::TakeEffects(Effects& effects) {
+  const WallTime wall = this->clock.Wall();
+  for (const NodeEvent& event : effects.events) {
+    this->events.Record(wall, {event.kind, event.subject, event.parent,
+                               event.code, event.detail});
+  }
+  for (const jobs::SubmissionAnswer& answer : effects.submissions) {
+    Reply(this->submissions, answer.submission_id, answer);
+  }
+  for (const jobs::CancelAnswer& answer : effects.cancels) {
+    Reply(this->cancels, answer.cancel_id, answer);
+  }
+  for (const jobs::SettleAnswer& answer : effects.settles) {
+    Reply(this->settles, answer.settle_id, answer);
+  }
+  if (effects.fenced) {
+    spdlog::error("another entry host has adopted this one's jobs; stopping");
+    this->loop.Stop();
+  }
+}
+
+}  // namespace agatepass::node
