Let entry hosts watch over each other and take over from the dead

Cause: a dead entry host's workers and jobs stayed where they were; a host with one of eight workers queued while its neighbour had room; ends of tasks were noticed only with the renewal every 1.5 s.

Change: EntryHost holds the liveness of its peers, adopts journals of dead or restarted hosts of its data centre, asks the owners of workers for proofs, and passes reports of tasks on to the host that keeps their job. Workers are spread by rendezvous hashing with a cap at the even share. While work waits for room, renewals come every 250 ms.

Conclusion: the decisions are in place; the messages still need their network.

--- a/src/agatepass/jobs/job_keeper.h
+++ b/src/agatepass/jobs/job_keeper.h
@@ -205,6 +205,9 @@
 
   const Incarnation& incarnation() const { return this->self; }
 
+  /** Whether adopted tasks wait for proofs of workers; see proofs_wanted. */
+  bool awaits_proofs() const { return !this->unproven.empty(); }
+
   /** How many jobs are kept. */
   size_t job_count() const { return this->jobs.size(); }
 
--- a/src/agatepass/membership/rendezvous.cpp
+++ b/src/agatepass/membership/rendezvous.cpp
@@ -1,6 +1,8 @@
 #include "agatepass/membership/rendezvous.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <numeric>
 
 namespace agatepass::membership {
 
@@ -26,16 +28,20 @@
   return hash ^ (hash >> kShift);
 }
 
+constexpr uint64_t kOffset = 0xcbf29ce484222325;
+
+uint64_t Weigh(std::string_view item, const base::HostId& host) {
+  return Mix(HashText(host.value, HashText(item, kOffset)));
+}
+
 }  // namespace
 
 base::HostId ChooseByRendezvous(std::string_view item,
                                 std::span<const base::HostId> hosts) {
-  constexpr uint64_t kOffset = 0xcbf29ce484222325;
-  const uint64_t item_hash = HashText(item, kOffset);
   base::HostId best;
   uint64_t best_weight = 0;
   for (const base::HostId& host : hosts) {
-    const uint64_t weight = Mix(HashText(host.value, item_hash));
+    const uint64_t weight = Weigh(item, host);
     const bool wins = best.empty() || weight > best_weight ||
                       (weight == best_weight && host < best);
     if (!wins) continue;
@@ -45,4 +51,38 @@
   return best;
 }
 
+std::vector<base::HostId> SpreadByRendezvous(
+    std::span<const std::string_view> items,
+    std::span<const base::HostId> hosts) {
+  std::vector<base::HostId> result(items.size());
+  if (hosts.empty()) return result;
+  struct Bid {
+    uint64_t weight = 0;
+    size_t item = 0;
+    size_t host = 0;
+  };
+  std::vector<Bid> bids;
+  bids.reserve(items.size() * hosts.size());
+  for (size_t item = 0; item < items.size(); ++item) {
+    for (size_t host = 0; host < hosts.size(); ++host) {
+      bids.push_back({Weigh(items[item], hosts[host]), item, host});
+    }
+  }
+  std::sort(bids.begin(), bids.end(), [&](const Bid& left, const Bid& right) {
+    if (left.weight != right.weight) return left.weight > right.weight;
+    if (items[left.item] != items[right.item]) {
+      return items[left.item] < items[right.item];
+    }
+    return hosts[left.host] < hosts[right.host];
+  });
+  std::vector<size_t> room(hosts.size(),
+                           (items.size() + hosts.size() - 1) / hosts.size());
+  for (const Bid& bid : bids) {
+    if (!result[bid.item].empty() || room[bid.host] == 0) continue;
+    result[bid.item] = hosts[bid.host];
+    --room[bid.host];
+  }
+  return result;
+}
+
 }  // namespace agatepass::membership
--- a/src/agatepass/membership/rendezvous.h
+++ b/src/agatepass/membership/rendezvous.h
@@ -7,6 +7,7 @@
 
 #include <span>
 #include <string_view>
+#include <vector>
 
 #include "agatepass/base/identifier.h"
 
@@ -22,6 +23,14 @@
 base::HostId ChooseByRendezvous(std::string_view item,
                                 std::span<const base::HostId> hosts);
 
+/** Returns, for each of `items`, the host that should hold it. Every host gets
+ * at most its even share, rounded up, so that few items are spread evenly too.
+ * All that see the same items and hosts get the same result.
+ */
+std::vector<base::HostId> SpreadByRendezvous(
+    std::span<const std::string_view> items,
+    std::span<const base::HostId> hosts);
+
 }  // namespace agatepass::membership
 
 #endif  // AGATEPASS_MEMBERSHIP_RENDEZVOUS_H_
--- a/src/agatepass/membership/worker_ownership.cpp
+++ b/src/agatepass/membership/worker_ownership.cpp
@@ -25,19 +25,32 @@
     if (record.role != platform::HostRole::kWorker) continue;
     this->by_id[WorkerId(record.name)].listed = true;
   }
+  this->Spread();
 }
 
 void WorkerOwnership::SetLiveHosts(std::span<const HostId> hosts) {
+  if (std::equal(hosts.begin(), hosts.end(), this->live.begin(),
+                 this->live.end())) {
+    return;
+  }
   this->live.assign(hosts.begin(), hosts.end());
+  this->Spread();
 }
 
 void WorkerOwnership::SetDeadHosts(std::span<const HostId> hosts) {
   this->dead.assign(hosts.begin(), hosts.end());
 }
 
-bool WorkerOwnership::Wanted(const WorkerId& id) const {
-  return !this->draining &&
-         ChooseByRendezvous(id.value, this->live) == this->self;
+void WorkerOwnership::Spread() {
+  std::vector<std::string_view> items;
+  for (const auto& [id, worker] : this->by_id) {
+    if (worker.listed) items.push_back(id.value);
+  }
+  const std::vector<HostId> owners = SpreadByRendezvous(items, this->live);
+  size_t next = 0;
+  for (auto& [id, worker] : this->by_id) {
+    worker.wanted = worker.listed && owners[next++] == this->self;
+  }
 }
 
 OwnershipEffects WorkerOwnership::OnTick(Instant now) {
@@ -54,7 +67,7 @@
 
 void WorkerOwnership::TickFree(const WorkerId& id, Worker& worker, Instant now,
                                OwnershipEffects* effects) {
-  if (!worker.listed || now < worker.next_call || !this->Wanted(id)) return;
+  if (!worker.wanted || this->draining || now < worker.next_call) return;
   this->Send(id, worker, WorkerVerb::kClaim, now, effects);
 }
 
@@ -64,7 +77,7 @@
     this->Lose(id, worker, effects);
     return;
   }
-  if (this->Wanted(id)) {
+  if (worker.wanted) {
     worker.unwanted_since.reset();
   } else if (!worker.unwanted_since) {
     worker.unwanted_since = now;
@@ -100,6 +113,7 @@
     call.command.tasks = worker.acknowledged;
     entry.acknowledged = std::exchange(worker.acknowledged, {});
     worker.next_call = now + this->options.renew_period;
+    worker.renewed = now;
   }
   this->pending.emplace(call.call, std::move(entry));
   effects->calls.push_back(std::move(call));
@@ -187,6 +201,14 @@
   return effects;
 }
 
+void WorkerOwnership::RenewSoon(base::Duration least_age, Instant now) {
+  for (auto& [id, worker] : this->by_id) {
+    if (worker.state != State::kHeld) continue;
+    const Instant soonest = worker.renewed + least_age;
+    worker.next_call = std::min(worker.next_call, std::max(soonest, now));
+  }
+}
+
 void WorkerOwnership::Acknowledge(const WorkerId& worker,
                                   const base::TaskId& task) {
   const auto entry = this->by_id.find(worker);
--- a/src/agatepass/membership/worker_ownership.h
+++ b/src/agatepass/membership/worker_ownership.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "agatepass/base/identifier.h"
@@ -103,6 +104,10 @@
   OwnershipEffects OnStaleEpoch(const base::WorkerId& worker,
                                 platform::Epoch epoch);
 
+  /** Renews every held worker with the next OnTick, to learn soon what ended.
+   * \param least_age renewals younger than this are left as they are. */
+  void RenewSoon(base::Duration least_age, base::Instant now);
+
   /** Lets the worker forget `task` with the next renewal. */
   void Acknowledge(const base::WorkerId& worker, const base::TaskId& task);
 
@@ -129,12 +134,15 @@
   struct Worker {
     State state = State::kFree;
     bool listed = true;
+    /** Whether this host should hold it, among those that live. */
+    bool wanted = false;
     platform::Epoch epoch = 0;
     /** Holder that the worker named in its last refusal. */
     base::HostId other_holder;
     /** When the lease may lapse at the worker, counted from the sending. */
     base::Instant lapses;
     base::Instant next_call;
+    base::Instant renewed;
     /** Since when another host is the better owner. */
     std::optional<base::Instant> unwanted_since;
     std::vector<base::TaskId> acknowledged;
@@ -147,7 +155,7 @@
     std::vector<base::TaskId> acknowledged;
   };
 
-  bool Wanted(const base::WorkerId& id) const;
+  void Spread();
   void TickFree(const base::WorkerId& id, Worker& worker, base::Instant now,
                 OwnershipEffects* effects);
   void TickHeld(const base::WorkerId& id, Worker& worker, base::Instant now,
--- a/src/agatepass/node/effects.h
+++ b/src/agatepass/node/effects.h
@@ -9,8 +9,10 @@
 #include <string>
 #include <vector>
 
+#include "agatepass/base/identifier.h"
 #include "agatepass/base/result_code.h"
 #include "agatepass/jobs/effects.h"
+#include "agatepass/peers/messages.h"
 #include "agatepass/platform/worker.h"
 #include "agatepass/timeline/event.h"
 
@@ -22,6 +24,12 @@
   platform::WorkerCall call;
 };
 
+/** A message to another entry host, without a promise that it arrives. */
+struct PeerSend {
+  base::HostId to;
+  peers::Message message;
+};
+
 /** One entry for the time line. */
 struct NodeEvent {
   timeline::EventKind kind = timeline::EventKind::kFaultSeen;
@@ -38,6 +46,7 @@
   std::vector<jobs::SubmissionAnswer> submissions;
   std::vector<jobs::CancelAnswer> cancels;
   std::vector<jobs::SettleAnswer> settles;
+  std::vector<PeerSend> peer_sends;
   std::vector<NodeEvent> events;
   /** Another host has adopted this one's jobs: the process must exit. */
   bool fenced = false;
--- a/src/agatepass/node/entry_host.cpp
+++ b/src/agatepass/node/entry_host.cpp
@@ -36,6 +36,15 @@
   }
 }
 
+membership::LivenessOptions MakeLivenessOptions(
+    const EntryHostOptions& options) {
+  membership::LivenessOptions result;
+  result.own_host = options.self.host;
+  result.incarnation = options.self.number;
+  result.data_centre = options.data_centre;
+  return result;
+}
+
 template <typename Item>
 void MoveTo(std::vector<Item>& from, std::vector<Item>& to) {
   to.insert(to.end(), std::make_move_iterator(from.begin()),
@@ -45,22 +54,17 @@
 
 }  // namespace
 
-EntryHost::EntryHost(const EntryHostOptions& options)
+EntryHost::EntryHost(const EntryHostOptions& options, Instant now)
     : options(options),
       keeper(options.jobs, options.self, options.seed),
       planner(options.seed),
-      ownership(options.self.host, options.ownership) {}
+      ownership(options.self.host, options.ownership),
+      liveness(MakeLivenessOptions(options), now) {}
 
 void EntryHost::SetPolicy(const placement::Policy& policy) {
   this->planner.SetPolicy(policy);
 }
 
-void EntryHost::SetPeers(std::span<const base::HostId> live,
-                         std::span<const base::HostId> dead) {
-  this->ownership.SetLiveHosts(live);
-  this->ownership.SetDeadHosts(dead);
-}
-
 uint64_t EntryHost::Submit(const jobs::JobSpec& spec, Instant now,
                            WallTime wall, Effects& effects) {
   jobs::Effects job_effects;
@@ -109,11 +113,17 @@
   jobs::Effects job_effects;
   this->keeper.OnTick(now, wall, job_effects);
   this->TakeJobEffects(job_effects, now, wall, effects);
+  this->TickPeers(now, wall, effects);
+  if (this->planner.waiting() > 0) {
+    // Work waits for room: learn soon of the tasks that have ended.
+    this->ownership.RenewSoon(this->options.busy_renew_period, now);
+  }
   this->Decide(now, wall, effects);
 }
 
 void EntryHost::Drain(Instant now, WallTime wall, Effects& effects) {
   this->draining = true;
+  this->liveness.Leave();
   this->keeper.Drain();
   this->starts.clear();
   membership::OwnershipEffects owner_effects = this->ownership.Drain(now);
@@ -149,7 +159,7 @@
     this->StopTask(stop, now, effects);
   }
   for (const jobs::TaskOnWorker& done : from.acknowledgements) {
-    this->ownership.Acknowledge(done.worker, done.task);
+    this->AcknowledgeEnd(done, effects);
   }
   for (const jobs::ReadyTask& ready : from.ready) {
     this->EnqueueReady(ready, now, effects);
@@ -158,11 +168,11 @@
     membership::OwnershipEffects claim = this->ownership.Reclaim(worker, now);
     this->TakeOwnershipEffects(claim, now, wall, effects);
   }
-  if (!from.proofs_wanted.empty()) {
-    for (const auto& [worker, total] : std::map(this->held)) {
-      membership::OwnershipEffects claim = this->ownership.Reclaim(worker, now);
-      this->TakeOwnershipEffects(claim, now, wall, effects);
-    }
+  if (!from.proofs_wanted.empty()) this->AskForProofs(now, wall, effects);
+  if (!from.journals.empty()) {
+    jobs::Effects adoption;
+    this->AdoptOrphans(from.journals, now, adoption);
+    this->TakeJobEffects(adoption, now, wall, effects);
   }
   if (!from.ready.empty()) this->Decide(now, wall, effects);
 }
--- a/src/agatepass/node/entry_host.h
+++ b/src/agatepass/node/entry_host.h
@@ -17,9 +17,11 @@
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/jobs/job_keeper.h"
+#include "agatepass/membership/liveness.h"
 #include "agatepass/membership/worker_ownership.h"
 #include "agatepass/node/effects.h"
 #include "agatepass/node/running_tasks.h"
+#include "agatepass/peers/messages.h"
 #include "agatepass/placement/planner.h"
 #include "agatepass/platform/host_list.h"
 #include "agatepass/platform/worker.h"
@@ -34,6 +36,8 @@
   jobs::JobKeeperOptions jobs;
   /** Life of a task lease at the worker. */
   base::Duration task_lease = std::chrono::seconds(15);
+  /** Renewal period of workers while tasks wait for room. */
+  base::Duration busy_renew_period = std::chrono::milliseconds(250);
   /** Decisions taken for one input at most. */
   size_t decisions_at_once = 1000;
   uint64_t seed = 1;
@@ -52,16 +56,15 @@
  */
 class EntryHost {
  public:
-  explicit EntryHost(const EntryHostOptions& options);
+  EntryHost(const EntryHostOptions& options, base::Instant now);
 
   /** Takes a new host list; only workers of the own data centre count. */
   void SetHosts(std::span<const platform::HostRecord> hosts, base::Instant now,
                 base::WallTime wall, Effects& effects);
 
-  /** Takes the entry hosts of the data centre that live, this one included,
-   * and those known to be dead. */
-  void SetPeers(std::span<const base::HostId> live,
-                std::span<const base::HostId> dead);
+  /** Takes a message of another entry host. */
+  void OnPeerMessage(const peers::Envelope& envelope, base::Instant now,
+                     base::WallTime wall, Effects& effects);
 
   /** Puts a policy in force. */
   void SetPolicy(const placement::Policy& policy);
@@ -109,6 +112,7 @@
   absl::StatusOr<std::string> Explain(std::string_view id,
                                       base::Instant now) const;
 
+  const membership::Liveness& members() const { return this->liveness; }
   const jobs::JobKeeper& job_keeper() const { return this->keeper; }
   const placement::Planner& placement_planner() const { return this->planner; }
   const membership::WorkerOwnership& worker_ownership() const {
@@ -149,6 +153,30 @@
                      const platform::TaskReport& report, base::Instant now);
   void ShowWorker(const base::WorkerId& worker);
 
+  // entry_host_peers.cpp
+  void TakeEntryHosts(std::span<const platform::HostRecord> hosts,
+                      base::Instant now, Effects& effects);
+  void TakeLiveness(membership::LivenessEffects& from, Effects& effects);
+  void ShareWorkers();
+  membership::OwnReport MakeReport() const;
+  void TickPeers(base::Instant now, base::WallTime wall, Effects& effects);
+  void AdoptOrphans(std::span<const jobs::Incarnation> journals,
+                    base::Instant now, jobs::Effects& job_effects);
+  void AskForProofs(base::Instant now, base::WallTime wall, Effects& effects);
+  void SendProofs(const base::WorkerId& worker, base::Instant asked,
+                  std::span<const platform::TaskReport> reports,
+                  Effects& effects);
+  void TakeProof(const peers::TaskAnswer& answer, base::Instant now,
+                 base::WallTime wall, Effects& effects);
+  void TellForeignTasks(Effects& effects);
+  void TakeForeignReports(const base::HostId& from,
+                          const peers::TaskReports& reports, base::Instant now,
+                          base::WallTime wall, Effects& effects);
+  void AcknowledgeEnd(const jobs::TaskOnWorker& done, Effects& effects);
+  void ForgetForeignTasks(const peers::TaskReportsAnswer& kept);
+  void NoteForeignTasks(const base::WorkerId& worker,
+                        std::span<const platform::TaskReport> reports);
+
   // entry_host_starts.cpp
   void CarryDecision(const placement::Decision& decision, base::Instant now,
                      Effects& effects);
@@ -176,6 +204,7 @@
   jobs::JobKeeper keeper;
   placement::Planner planner;
   membership::WorkerOwnership ownership;
+  membership::Liveness liveness;
   RunningTasks running;
   std::map<base::WorkerId, WorkerPlace> places;
   std::map<base::WorkerId, platform::Resources> held;
@@ -185,6 +214,17 @@
   std::map<uint64_t, platform::WorkerCall> commands;
   /** Number of the ownership's calls, by the number given outside. */
   std::map<uint64_t, uint64_t> ownership_calls;
+  /** Tasks on held workers whose jobs other hosts keep. */
+  std::map<base::TaskId, peers::LocatedReport> foreign;
+  /** Who told of a task of a job kept here, to be told of its journalled end.
+   */
+  std::map<base::TaskId, base::HostId> reported_by;
+  /** Peers that wait for proofs, and since when. */
+  std::map<base::HostId, base::Instant> proof_seekers;
+  base::Instant proofs_asked;
+  base::Instant next_proof_query;
+  base::Instant next_journal_list;
+  base::Instant next_foreign_report;
   uint64_t next_call = 1;
   bool draining = false;
 };
--- a/src/agatepass/node/entry_host_workers.cpp
+++ b/src/agatepass/node/entry_host_workers.cpp
@@ -26,6 +26,7 @@
     this->places[worker] = {host.rack, host.label, host.state};
   }
   this->ownership.SetWorkers(own);
+  this->TakeEntryHosts(hosts, now, effects);
   for (const auto& [worker, total] : this->held) this->ShowWorker(worker);
   jobs::Effects job_effects;
   for (const auto& [data_centre, workers] : by_data_centre) {
@@ -89,6 +90,7 @@
     this->TakeGain(gained, now, wall, effects);
   }
   for (const membership::WorkerReported& report : from.reports) {
+    this->SendProofs(report.worker, report.asked, report.tasks, effects);
     this->TakeReports(report.worker, report.tasks, now, wall, effects);
     jobs::Effects job_effects;
     this->keeper.OnInventory(
@@ -142,6 +144,7 @@
 void EntryHost::TakeReports(const WorkerId& worker,
                             std::span<const platform::TaskReport> reports,
                             Instant now, WallTime wall, Effects& effects) {
+  this->NoteForeignTasks(worker, reports);
   for (const platform::TaskReport& report : reports) {
     jobs::Effects job_effects;
     this->keeper.OnTaskReport(worker, report, now, wall, job_effects);
--- a/src/agatepass/node/host_task.cpp
+++ b/src/agatepass/node/host_task.cpp
@@ -55,7 +55,7 @@
       store(loop, settings.store),
       workers(loop),
       host_list(loop, settings.host_list),
-      entry_host(MakeOptions(settings)),
+      entry_host(MakeOptions(settings), base::MonotonicClock::now()),
       driver(this->entry_host, this->store, this->workers, this->clock,
              [this](Effects& effects) { this->TakeEffects(effects); }),
       request_task(loop, MakeRelaySettings(settings)),
@@ -134,14 +134,6 @@
   this->has_hosts = true;
   this->workers.SetHosts(this->list);
   this->request_task.SetUpstreams(this->list);
-  std::vector<base::HostId> live;
-  for (const platform::HostRecord& host : this->list) {
-    const bool is_peer = host.role == platform::HostRole::kEntryHost &&
-                         host.state == platform::HostState::kLive &&
-                         host.data_centre == this->settings.data_centre;
-    if (is_peer) live.emplace_back(host.name);
-  }
-  this->entry_host.SetPeers(live, {});
   this->driver.Run([this](Instant now, WallTime wall, Effects& effects) {
     this->entry_host.SetHosts(this->list, now, wall, effects);
   });
