--- a/src/agatepass/jobs/journal.cpp
+++ b/src/agatepass/jobs/journal.cpp
@@ -277,20 +277,30 @@
   this->write.reset();
   this->suspect = false;
   this->delay.Reset();
-  this->segments[done.segment] = {entry.revision, done.records.size()};
+  SegmentInfo& info = this->segments[done.segment];
+  this->total_bytes += done.records.size() - info.bytes;
+  info = {entry.revision, done.records.size()};
   this->tail_records = std::move(done.records);
   for (const Pending& item : done.batch) {
     this->committed_position =
         std::max(this->committed_position, item.position);
-    if (const auto* whole = std::get_if<JobRecorded>(&item.record)) {
-      this->homes[whole->job.id] = {done.segment,
-                                    EncodeRecord(item.record).size()};
-    } else if (std::holds_alternative<JobForgotten>(item.record)) {
-      this->homes.erase(JobOf(item.record));
-    }
+    this->NoteHome(item.record, done.segment);
   }
 }
 
+void Journal::NoteHome(const JournalRecord& record, uint64_t segment) {
+  const bool whole = std::holds_alternative<JobRecorded>(record);
+  if (!whole && !std::holds_alternative<JobForgotten>(record)) return;
+  const base::JobId job = JobOf(record);
+  if (const auto old = this->homes.extract(job); !old.empty()) {
+    this->live_bytes -= old.mapped().second;
+  }
+  if (!whole) return;
+  const size_t bytes = EncodeRecord(record).size();
+  this->homes[job] = {segment, bytes};
+  this->live_bytes += bytes;
+}
+
 void Journal::OnProbeReply(const platform::StoreReply& reply,
                            base::Instant now) {
   if (reply.outcome != platform::Outcome::kDone) {
@@ -328,6 +338,7 @@
   if (reply.outcome == platform::Outcome::kDone ||
       reply.outcome == platform::Outcome::kRefused) {
     // Refused: an earlier attempt whose answer was lost has deleted it.
+    this->total_bytes -= this->segments.begin()->second.bytes;
     this->segments.erase(this->segments.begin());
     this->clean_after.reset();
   } else {
@@ -340,19 +351,12 @@
   this->retry_at = now + this->delay.Next();
 }
 
-size_t Journal::TotalBytes() const {
-  size_t total = 0;
-  for (const auto& [number, segment] : this->segments) total += segment.bytes;
-  return total;
-}
-
 std::optional<std::vector<base::JobId>> Journal::JobsToCarry() const {
   if (this->clean_after || this->segments.size() < 3 || this->suspect) {
     return std::nullopt;
   }
-  size_t live = 0;
-  for (const auto& [job, home] : this->homes) live += home.second;
-  if (this->TotalBytes() < 2 * live + 2 * this->options.segment_bytes) {
+  if (this->total_bytes <
+      2 * this->live_bytes + 2 * this->options.segment_bytes) {
     return std::nullopt;
   }
   std::vector<base::JobId> jobs;
--- a/src/agatepass/jobs/journal.h
+++ b/src/agatepass/jobs/journal.h
@@ -29,7 +29,7 @@
   /** The same for ends of tasks, which nobody waits for. */
   base::Duration end_interval = std::chrono::seconds(1);
   /** Size at which a new segment is begun. */
-  size_t segment_bytes = 4 * 1024;
+  size_t segment_bytes = 1024;
   /** Most bytes of records in one write. */
   size_t write_bytes = 256 * 1024;
   base::Duration first_retry = std::chrono::milliseconds(200);
@@ -161,7 +161,7 @@
   void OnSealCheckReply(const platform::StoreReply& reply, base::Instant now);
   void Commit(const platform::StoreEntry& entry);
   void Suspect(base::Instant now);
-  size_t TotalBytes() const;
+  void NoteHome(const JournalRecord& record, uint64_t segment);
 
   JournalOptions options;
   Incarnation self;
@@ -179,6 +179,9 @@
   std::string tail_records;
   /** The segment of each job's newest whole record, and that record's size. */
   std::map<base::JobId, std::pair<uint64_t, size_t>> homes;
+  /** Bytes of all segments, and of the newest whole records of all jobs. */
+  size_t total_bytes = 0;
+  size_t live_bytes = 0;
   std::optional<uint64_t> clean_after;
   std::optional<OpenCall> call;
   /** When the last call was sent that found the journal unsealed. */
--- a/src/agatepass/jobs/key_claims.cpp
+++ b/src/agatepass/jobs/key_claims.cpp
@@ -7,7 +7,7 @@
 namespace agatepass::jobs {
 namespace {
 
-constexpr size_t kMaxCallsInFlight = 8;
+constexpr size_t kMaxCallsInFlight = 32;
 
 }  // namespace
 
