--- a/src/agatepass/relay/admission.cpp
+++ b/src/agatepass/relay/admission.cpp
@@ -21,10 +21,10 @@
   Queue& queue = this->queues[static_cast<size_t>(request.request_class)];
   const base::Duration wait =
       this->ExpectedWait(request.request_class, capacity);
-  if (now + capacity.service_time >= request.deadline)
+  if (now + capacity.likely_time >= request.deadline)
     return Refusal{base::ResultCode::kDeadlineTooShort, RetryAfter(wait)};
   if (queue.size() >= this->length ||
-      now + wait + capacity.service_time >= request.deadline)
+      now + wait + capacity.likely_time >= request.deadline)
     return Refusal{base::ResultCode::kOverloaded, RetryAfter(wait)};
   queue.push_back(request);
   return std::nullopt;
@@ -58,7 +58,7 @@
     for (const WaitingRequest& request : queue) {
       const base::Duration wait =
           capacity.service_time * ahead / std::max(capacity.slots, 1);
-      if (now + wait + capacity.service_time >= request.deadline) {
+      if (now + wait + capacity.likely_time >= request.deadline) {
         hopeless.push_back(request);
       } else {
         kept.push_back(request);
--- a/src/agatepass/relay/admission.h
+++ b/src/agatepass/relay/admission.h
@@ -35,6 +35,9 @@
   int slots = 0;
   /** Typical time of one request at an upstream; zero if not yet known. */
   base::Duration service_time{0};
+  /** Time within which nearly all requests end; a request with less left is not
+   * sent, as its outcome would likely stay unknown. */
+  base::Duration likely_time{0};
 };
 
 /** Why a request does not wait, and when to come back. */
--- a/src/agatepass/relay/dispatcher.cpp
+++ b/src/agatepass/relay/dispatcher.cpp
@@ -161,7 +161,6 @@
     service.pool.ExpireLingering(now);
     Refill(service, now);
     this->OfferWaiting(service, now, &commands);
-    this->GiveUpHopeless(service, now, &commands);
     for (const Upstream* upstream : service.pool.TakeProbes(now)) {
       ++this->counts.probes;
       commands.emplace_back(ProbeCommand{id, upstream->id, upstream->endpoint});
@@ -197,6 +196,8 @@
 
 void Dispatcher::OfferWaiting(Service& service, base::Instant now,
                               std::vector<Command>* commands) {
+  if (service.queue.size() == 0) return;
+  this->GiveUpHopeless(service, now, commands);
   service.queue.Offer([&](const WaitingRequest& waiting) {
     return this->TrySend(service, this->requests.at(waiting.number), now,
                          commands);
@@ -219,7 +220,7 @@
   request.failed.push_back(request.upstream);
   const FailedAttempt attempt{end, request.facts.idempotent, request.attempts,
                               request.facts.deadline};
-  const base::Duration needed = service.pool.Capacity().service_time;
+  const base::Duration needed = service.pool.Capacity().likely_time;
   if (MayRetry(attempt, now, needed, &service.retries)) {
     ++this->counts.retried;
     if (this->TrySend(service, request, now, commands)) return;
--- a/src/agatepass/relay/tests/dispatcher_test.cpp
+++ b/src/agatepass/relay/tests/dispatcher_test.cpp
@@ -93,15 +93,24 @@
 }
 
 TEST_F(DispatcherTest, SlotOfALostAnswerStaysTakenWhileItMayRun) {
-  for (RequestNumber i = 1; i <= 5; ++i) this->Submit(i);
-  const base::Instant later = this->now + milliseconds(10);
-  EXPECT_EQ(CountSends(this->dispatcher.OnAttemptEnd(1, AttemptEnd::kUnknown,
-                                                     "timeout", later)),
+  for (RequestNumber i = 1; i <= 5; ++i)
+    this->Submit(i, RequestClass::kInteractive, false, seconds(20));
+  EXPECT_EQ(
+      CountSends(this->dispatcher.OnAttemptEnd(
+          1, AttemptEnd::kUnknown, "timeout", this->now + milliseconds(10))),
+      0);
+  EXPECT_EQ(CountSends(this->dispatcher.OnTick(this->now + milliseconds(9999))),
             0);
-  // Idle slots of the other upstream are full too, so only time frees one.
-  const std::vector<Command> commands =
-      this->dispatcher.OnTick(this->now + seconds(10));
-  EXPECT_EQ(CountSends(commands), 1);
+  EXPECT_EQ(CountSends(this->dispatcher.OnTick(this->now + seconds(10))), 1);
+}
+
+TEST_F(DispatcherTest, NothingIsSentAfterItsDeadline) {
+  for (RequestNumber i = 1; i <= 5; ++i) this->Submit(i);
+  const std::vector<Command> commands = this->dispatcher.OnAttemptEnd(
+      1, AttemptEnd::kAnswered, "", this->now + seconds(6));
+  EXPECT_EQ(CountSends(commands), 0);
+  EXPECT_EQ(std::get<FinishCommand>(commands.back()).code,
+            ResultCode::kOverloaded);
 }
 
 TEST_F(DispatcherTest, LeavingUpstreamGetsNothingNew) {
--- a/src/agatepass/relay/upstream_health.cpp
+++ b/src/agatepass/relay/upstream_health.cpp
@@ -11,6 +11,7 @@
 constexpr base::Duration kLongestEjection = std::chrono::seconds(16);
 // Each answer moves the average by 1/8 of the difference.
 constexpr int kAverageDivisor = 8;
+constexpr int kDeviationDivisor = 4;
 constexpr double kLeastWeight = 0.1;
 
 }  // namespace
@@ -21,7 +22,10 @@
   if (this->average.count() == 0) {
     this->average = latency;
   } else {
-    this->average += (latency - this->average) / kAverageDivisor;
+    const base::Duration difference = latency - this->average;
+    this->average += difference / kAverageDivisor;
+    this->deviation +=
+        (std::chrono::abs(difference) - this->deviation) / kDeviationDivisor;
   }
 }
 
--- a/src/agatepass/relay/upstream_health.h
+++ b/src/agatepass/relay/upstream_health.h
@@ -33,6 +33,12 @@
   /** Average time of an answer; zero before the first. */
   base::Duration latency() const { return this->average; }
 
+  /** Time within which nearly all answers come: the average and four mean
+   * deviations. */
+  base::Duration likely_time() const {
+    return this->average + 4 * this->deviation;
+  }
+
   /** Share of requests to give it, between 0.1 and 1, against an upstream with
    * the latency `typical`. */
   double Weight(base::Duration typical) const;
@@ -41,6 +47,7 @@
   void Eject(base::Instant now);
 
   base::Duration average{0};
+  base::Duration deviation{0};
   int failures_in_a_row = 0;
   int ejections_in_a_row = 0;
   bool is_ejected = false;
--- a/src/agatepass/relay/upstream_pool.cpp
+++ b/src/agatepass/relay/upstream_pool.cpp
@@ -15,6 +15,15 @@
   return Distance::kOtherRegion;
 }
 
+// The order of `times` is changed.
+base::Duration Median(std::vector<base::Duration>* times) {
+  if (times->empty()) return base::Duration(0);
+  const auto middle =
+      times->begin() + static_cast<std::ptrdiff_t>(times->size() / 2);
+  std::nth_element(times->begin(), middle, times->end());
+  return *middle;
+}
+
 }  // namespace
 
 void UpstreamPool::SetRule(const ServiceRule& new_rule) {
@@ -143,6 +152,7 @@
       capacity.slots += upstream.share;
   }
   capacity.service_time = this->TypicalLatency();
+  capacity.likely_time = std::max(this->LikelyTime(), capacity.service_time);
   return capacity;
 }
 
@@ -169,11 +179,16 @@
     if (upstream.health.latency().count() > 0)
       latencies.push_back(upstream.health.latency());
   }
-  if (latencies.empty()) return base::Duration(0);
-  const auto middle =
-      latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
-  std::nth_element(latencies.begin(), middle, latencies.end());
-  return *middle;
+  return Median(&latencies);
+}
+
+base::Duration UpstreamPool::LikelyTime() const {
+  std::vector<base::Duration> times;
+  for (const auto& [id, upstream] : this->upstreams) {
+    if (upstream.health.latency().count() > 0)
+      times.push_back(upstream.health.likely_time());
+  }
+  return Median(&times);
 }
 
 bool UpstreamPool::FewLeft() const {
--- a/src/agatepass/relay/upstream_pool.h
+++ b/src/agatepass/relay/upstream_pool.h
@@ -108,6 +108,7 @@
   std::string LabelOf(const platform::HostRecord& host) const;
   bool Fits(const Upstream& upstream, const UpstreamDemand& demand) const;
   base::Duration TypicalLatency() const;
+  base::Duration LikelyTime() const;
   bool FewLeft() const;
   void Forget();
 
