--- a/fakes/worker_model.cpp
+++ b/fakes/worker_model.cpp
@@ -127,6 +127,14 @@
   this->lapses = base::Instant();
 }
 
+std::vector<base::TaskId> WorkerModel::running() const {
+  std::vector<base::TaskId> ids;
+  for (const auto& [id, task] : this->tasks) {
+    if (task.phase == TaskPhase::kRunning) ids.push_back(id);
+  }
+  return ids;
+}
+
 platform::Resources WorkerModel::committed() const {
   platform::Resources sum;
   for (const auto& [id, task] : this->tasks) {
--- a/fakes/worker_model.h
+++ b/fakes/worker_model.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "agatepass/base/time.h"
 #include "agatepass/platform/worker.h"
@@ -40,6 +41,9 @@
   /** How often each task was started on this worker. */
   const std::map<base::TaskId, int>& starts() const { return this->started; }
 
+  /** The tasks that run now. */
+  std::vector<base::TaskId> running() const;
+
   /** Whether it ever held more than it has. */
   bool overloaded() const { return this->was_overloaded; }
 
--- a/src/agatepass/membership/rendezvous.cpp
+++ b/src/agatepass/membership/rendezvous.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <numeric>
 
 namespace agatepass::membership {
 
@@ -75,12 +74,17 @@
     }
     return hosts[left.host] < hosts[right.host];
   });
-  std::vector<size_t> room(hosts.size(),
-                           (items.size() + hosts.size() - 1) / hosts.size());
+  const size_t even = items.size() / hosts.size();
+  size_t larger_shares = items.size() % hosts.size();
+  std::vector<size_t> taken(hosts.size());
   for (const Bid& bid : bids) {
-    if (!result[bid.item].empty() || room[bid.host] == 0) continue;
+    if (!result[bid.item].empty() || taken[bid.host] > even) continue;
+    if (taken[bid.host] == even) {
+      if (larger_shares == 0) continue;
+      --larger_shares;
+    }
     result[bid.item] = hosts[bid.host];
-    --room[bid.host];
+    ++taken[bid.host];
   }
   return result;
 }
--- a/src/agatepass/membership/rendezvous.h
+++ b/src/agatepass/membership/rendezvous.h
@@ -24,7 +24,7 @@
                                 std::span<const base::HostId> hosts);
 
 /** Returns, for each of `items`, the host that should hold it. Every host gets
- * at most its even share, rounded up, so that few items are spread evenly too.
+ * its even share, and some one more, so that few items are spread evenly too.
  * All that see the same items and hosts get the same result.
  */
 std::vector<base::HostId> SpreadByRendezvous(
--- a/src/agatepass/membership/tests/rendezvous_test.cpp
+++ b/src/agatepass/membership/tests/rendezvous_test.cpp
@@ -19,16 +19,17 @@
   return names;
 }
 
-TEST(Rendezvous, SpreadGivesNobodyMoreThanAnEvenShare) {
+TEST(Rendezvous, SpreadGivesEverybodyAnEvenShare) {
   for (const int count : {1, 8, 50, 540}) {
     const std::vector<std::string> names = MakeNames(count);
     const std::vector<std::string_view> items(names.begin(), names.end());
     const std::vector<HostId> hosts{HostId("a"), HostId("b"), HostId("c")};
     std::map<HostId, int> held;
     for (const HostId& host : SpreadByRendezvous(items, hosts)) ++held[host];
-    for (const auto& [host, number] : held) {
-      EXPECT_FALSE(host.empty());
-      EXPECT_LE(number, (count + 2) / 3) << host;
+    EXPECT_FALSE(held.contains(HostId()));
+    for (const HostId& host : hosts) {
+      EXPECT_GE(held[host], count / 3) << host << " of " << count;
+      EXPECT_LE(held[host], (count + 2) / 3) << host << " of " << count;
     }
   }
 }
--- a/src/agatepass/membership/worker_ownership.cpp
+++ b/src/agatepass/membership/worker_ownership.cpp
@@ -201,6 +201,27 @@
   return effects;
 }
 
+OwnershipEffects WorkerOwnership::Lend(const WorkerId& worker, Instant now) {
+  OwnershipEffects effects;
+  const auto entry = this->by_id.find(worker);
+  if (entry == this->by_id.end()) return effects;
+  if (entry->second.state != State::kHeld) return effects;
+  this->Send(worker, entry->second, WorkerVerb::kRelease, now, &effects);
+  this->Lose(worker, entry->second, &effects);
+  // The borrower claims first.
+  entry->second.next_call = now + this->options.hand_over_delay;
+  return effects;
+}
+
+OwnershipEffects WorkerOwnership::Borrow(const WorkerId& worker, Instant now) {
+  OwnershipEffects effects;
+  const auto entry = this->by_id.find(worker);
+  if (entry == this->by_id.end() || this->draining) return effects;
+  if (entry->second.state != State::kFree) return effects;
+  this->Send(worker, entry->second, WorkerVerb::kClaim, now, &effects);
+  return effects;
+}
+
 void WorkerOwnership::RenewSoon(base::Duration least_age, Instant now) {
   for (auto& [id, worker] : this->by_id) {
     if (worker.state != State::kHeld) continue;
--- a/src/agatepass/membership/worker_ownership.h
+++ b/src/agatepass/membership/worker_ownership.h
@@ -116,6 +116,13 @@
    * gained. Does nothing for a worker that is not held. */
   OwnershipEffects Reclaim(const base::WorkerId& worker, base::Instant now);
 
+  /** Gives a held worker up to a host that has asked for it. */
+  OwnershipEffects Lend(const base::WorkerId& worker, base::Instant now);
+
+  /** Claims a worker that its owner has lent; it goes back as soon as it has
+   * been unwanted for the hand-over delay. */
+  OwnershipEffects Borrow(const base::WorkerId& worker, base::Instant now);
+
   /** Gives every worker up; none is claimed again. */
   OwnershipEffects Drain(base::Instant now);
 
--- a/src/agatepass/node/entry_host.h
+++ b/src/agatepass/node/entry_host.h
@@ -168,6 +168,11 @@
                   Effects& effects);
   void TakeProof(const peers::TaskAnswer& answer, base::Instant now,
                  base::WallTime wall, Effects& effects);
+  void AskForRoom(base::Instant now, Effects& effects);
+  void LendWorker(const base::HostId& to, const peers::Reserve& request,
+                  base::Instant now, base::WallTime wall, Effects& effects);
+  void BorrowWorkers(const peers::Handover& handover, base::Instant now,
+                     base::WallTime wall, Effects& effects);
   void TellForeignTasks(Effects& effects);
   void TakeForeignReports(const base::HostId& from,
                           const peers::TaskReports& reports, base::Instant now,
@@ -177,6 +182,11 @@
   void NoteForeignTasks(const base::WorkerId& worker,
                         std::span<const platform::TaskReport> reports);
 
+  // entry_host_lending.cpp
+  std::optional<base::HostId> RoomiestPeer() const;
+  std::optional<base::WorkerId> EmptiestWorker(
+      const platform::Resources& need) const;
+
   // entry_host_starts.cpp
   void CarryDecision(const placement::Decision& decision, base::Instant now,
                      Effects& effects);
@@ -225,6 +235,7 @@
   base::Instant next_proof_query;
   base::Instant next_journal_list;
   base::Instant next_foreign_report;
+  base::Instant next_room_request;
   uint64_t next_call = 1;
   bool draining = false;
 };
--- a/src/agatepass/node/entry_host_peers.cpp
+++ b/src/agatepass/node/entry_host_peers.cpp
@@ -98,6 +98,7 @@
   if (this->keeper.awaits_proofs() && now >= this->next_proof_query) {
     this->AskForProofs(now, wall, effects);
   }
+  this->AskForRoom(now, effects);
   if (now >= this->next_foreign_report) {
     this->next_foreign_report = now + kForeignReportPeriod;
     this->TellForeignTasks(effects);
@@ -152,6 +153,12 @@
   } else if (const auto* kept =
                  std::get_if<peers::TaskReportsAnswer>(&envelope.message)) {
     this->ForgetForeignTasks(*kept);
+  } else if (const auto* request =
+                 std::get_if<peers::Reserve>(&envelope.message)) {
+    this->LendWorker(envelope.sender, *request, now, wall, effects);
+  } else if (const auto* handover =
+                 std::get_if<peers::Handover>(&envelope.message)) {
+    this->BorrowWorkers(*handover, now, wall, effects);
   }
 }
 
