--- a/src/agatepass/placement/cell.h
+++ b/src/agatepass/placement/cell.h
@@ -103,15 +103,6 @@
   LabelNumber label = 0;
   /** Whether room held for a gang may be used. */
   bool may_use_held = false;
-
-  bool operator==(const PlacementNeed&) const = default;
-
-  template <typename Hasher>
-  friend Hasher AbslHashValue(Hasher hasher, const PlacementNeed& need) {
-    return Hasher::combine(std::move(hasher), need.room.millicores,
-                           need.room.memory_mib, need.room.accelerators,
-                           need.label, need.may_use_held);
-  }
 };
 
 /** All workers, with the indexes over their room.
--- a/src/agatepass/placement/explanation_log.h
+++ b/src/agatepass/placement/explanation_log.h
@@ -22,7 +22,10 @@
  */
 class ExplanationLog {
  public:
-  explicit ExplanationLog(size_t capacity) : capacity(capacity) {}
+  explicit ExplanationLog(size_t capacity) : capacity(capacity) {
+    // Growth would move all records within one decision.
+    this->records.reserve(capacity);
+  }
 
   /** Stores a record and gives it its id. */
   ExplanationId Add(Explanation explanation);
--- a/src/agatepass/placement/planner.h
+++ b/src/agatepass/placement/planner.h
@@ -265,7 +265,8 @@
   Policy rules;
   Cell workers;
   TaskQueue queue;
-  UsageHistory history;
+  /** Percentiles are recalculated on demand, by const methods too. */
+  mutable UsageHistory history;
   FailureLedger failures;
   ExplanationLog log;
   Interner team_numbers;
@@ -281,6 +282,8 @@
   std::set<base::JobId> blamed;
   platform::Resources share_base;
   bool recheck = false;
+  /** Time of the latest Decide. */
+  base::Instant decided_at;
 };
 
 }  // namespace agatepass::placement
--- a/src/agatepass/placement/planner_decide.cpp
+++ b/src/agatepass/placement/planner_decide.cpp
@@ -36,6 +36,7 @@
 
 std::vector<Decision> Planner::Decide(base::Instant now, size_t limit) {
   std::vector<Decision> decisions;
+  this->decided_at = now;
   this->RefreshShares();
   this->queue.Age(now);
   this->EndProbations(now);
@@ -77,7 +78,10 @@
               .memory_mib = std::max(merged.memory_mib, room.memory_mib),
               .accelerators = std::max(merged.accelerators, room.accelerators)};
   }
-  this->queue.WakeRoom(rooms);
+  const base::Instant now = this->decided_at;
+  this->queue.WakeRoom(rooms, [&](const Line& line) {
+    return this->NeedOf(*line.head, now).room;
+  });
 }
 
 std::optional<base::Duration> Planner::RunTimeOf(const TaskRecord& task) const {
@@ -191,6 +195,7 @@
   }
   TaskRecord& task = *line.head;
   const PlacementNeed need = this->NeedOf(task, now);
+  const NeedKey key = NeedKeyOf(line.key);
   if (const WaitCause cause = this->HeldBack(task, need, 1);
       cause != WaitCause::kNothing) {
     this->Delay(line, cause, need, now, decisions);
@@ -200,7 +205,7 @@
       choice &&
       this->workers.Charge(choice->slot, this->OccupantOf(task, need, now))) {
     this->Place(task, need, std::move(*choice), now, decisions);
-    this->queue.WakeNext(need);
+    this->queue.WakeNext(key);
     return;
   }
   if (task.request.priority >= this->rules.lowest_preempting &&
@@ -212,12 +217,9 @@
 
 void Planner::Delay(Line& line, WaitCause cause, const PlacementNeed& need,
                     base::Instant now, std::vector<Decision>& decisions) {
-  const PlacementNeed woken_for = line.need;
-  this->queue.Park(line, cause, need);
+  this->queue.Park(line, cause);
   // The room that woke this line is still there for others with that need.
-  if (cause != WaitCause::kRoom || woken_for != need) {
-    this->queue.WakeNext(woken_for);
-  }
+  if (cause != WaitCause::kRoom) this->queue.WakeNext(NeedKeyOf(line.key));
   if (std::exchange(line.announced, cause) == cause) return;
   Explanation why = this->Describe(*line.head, need, now);
   why.kind = DecisionKind::kDelay;
--- a/src/agatepass/placement/planner_events.cpp
+++ b/src/agatepass/placement/planner_events.cpp
@@ -75,7 +75,8 @@
   }
   if (succeeded) {
     this->failures.OnSuccess(record->worker, record->request.job);
-    this->history.Record(record->workload, used, run_time);
+    this->history.Record(record->workload, record->request.declared, used,
+                         run_time);
   } else {
     this->NoteFailure(record->worker, record->request.job, now);
   }
--- a/src/agatepass/placement/planner_preempt.cpp
+++ b/src/agatepass/placement/planner_preempt.cpp
@@ -149,10 +149,19 @@
       this->Requeue(*entry.task);
       continue;
     }
-    if (this->workers.Charge(*slot,
-                             this->OccupantOf(*entry.task, entry.need, now))) {
+    Choice choice{.slot = *slot};
+    const Occupant occupant = this->OccupantOf(*entry.task, entry.need, now);
+    bool charged = this->workers.Charge(choice.slot, occupant);
+    if (!charged) {
+      // Other work may have ended elsewhere in the meantime.
+      if (auto other = this->Choose(*entry.task, entry.need)) {
+        choice = std::move(*other);
+        charged = this->workers.Charge(choice.slot, occupant);
+      }
+    }
+    if (charged) {
       this->EndAwaited(entry);
-      this->Place(*entry.task, entry.need, {.slot = *slot}, now, decisions);
+      this->Place(*entry.task, entry.need, std::move(choice), now, decisions);
       continue;
     }
     if (!entry.escalated &&
--- a/src/agatepass/placement/policy.h
+++ b/src/agatepass/placement/policy.h
@@ -48,7 +48,7 @@
 struct Margins {
   /** Percentile of observed use that is granted, from 0 to 1. */
   double percentile = 0.95;
-  /** Factor on that percentile. */
+  /** Factor on the distance from the median to that percentile. */
   double factor = 1.1;
   /** Ended tasks of a workload before its observed use is trusted. */
   uint32_t samples = 20;
--- a/src/agatepass/placement/task_queue.cpp
+++ b/src/agatepass/placement/task_queue.cpp
@@ -37,6 +37,18 @@
           .job = request.kind == WorkloadKind::kGang ? request.job.value : ""};
 }
 
+NeedKey NeedKeyOf(const LineKey& line) {
+  return {.workload = line.workload,
+          .label = line.label,
+          .kind = line.kind,
+          .urgent = line.priority == Priority::kUrgent,
+          .checkpointable = line.checkpointable,
+          .millicores = line.millicores,
+          .memory_mib = line.memory_mib,
+          .accelerators = line.accelerators,
+          .run_time_microseconds = line.run_time_microseconds};
+}
+
 TaskQueue::TeamLines& TaskQueue::TeamOf(uint32_t team) {
   if (team >= this->teams.size()) this->teams.resize(team + 1);
   return this->teams[team];
@@ -70,13 +82,10 @@
   const TaskRecord* head = line->head;
   this->Insert(*line, task);
   ++this->tasks;
-  if (is_new) {
-    this->OnNewHead(*line);
-    this->Activate(*line);
-  } else if (line->head != head) {
-    this->Deactivate(*line);
+  if (line->head != head) {
+    if (!is_new) this->Detach(*line);
     this->OnNewHead(*line);
-    if (line->parked == WaitCause::kNothing) this->Activate(*line);
+    this->Attach(*line);
   }
   if (line->parked == WaitCause::kGangIncomplete) this->Wake(*line);
 }
@@ -84,7 +93,7 @@
 void TaskQueue::Remove(TaskRecord& task) {
   Line& line = *task.line;
   const bool was_head = line.head == &task;
-  if (was_head) this->Deactivate(line);
+  if (was_head) this->Detach(line);
   (task.previous == nullptr ? line.head : task.previous->next) = task.next;
   (task.next == nullptr ? line.tail : task.next->previous) = task.previous;
   task.next = task.previous = nullptr;
@@ -93,15 +102,16 @@
   --this->tasks;
   if (line.size == 0) {
     // The room that the line was woken for may serve the next one.
-    if (line.parked == WaitCause::kNothing) this->WakeNext(line.need);
-    this->Unpark(line);
+    const bool was_woken = line.parked == WaitCause::kNothing;
+    const NeedKey need = NeedKeyOf(line.key);
     this->ageing.erase({line.next_ageing, line.number});
     this->by_number.erase(line.number);
     const LineKey key = line.key;
     this->by_key.erase(key);
+    if (was_woken) this->WakeNext(need);
   } else if (was_head) {
     this->OnNewHead(line);
-    if (line.parked == WaitCause::kNothing) this->Activate(line);
+    this->Attach(line);
   }
 }
 
@@ -123,13 +133,52 @@
 void TaskQueue::Age(base::Instant now) {
   while (!this->ageing.empty() && this->ageing.begin()->first <= now) {
     Line& line = *this->by_number.at(this->ageing.begin()->second);
-    const bool active = line.parked == WaitCause::kNothing;
-    if (active) this->Deactivate(line);
+    this->Detach(line);
     this->ageing.erase(this->ageing.begin());
     line.effective =
         static_cast<Priority>(static_cast<uint8_t>(line.effective) + 1);
     this->ScheduleAgeing(line);
-    if (active) this->Activate(line);
+    this->Attach(line);
+  }
+}
+
+void TaskQueue::Attach(Line& line) {
+  switch (line.parked) {
+    case WaitCause::kNothing:
+      this->Activate(line);
+      break;
+    case WaitCause::kQuota:
+      this->over_quota[line.key.team].insert(line.number);
+      break;
+    case WaitCause::kRoom:
+      if (line.key.kind == WorkloadKind::kGang) {
+        this->waiting_gangs.insert(line.number);
+      } else {
+        this->JoinGroup(line);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+void TaskQueue::Detach(Line& line) {
+  switch (line.parked) {
+    case WaitCause::kNothing:
+      this->Deactivate(line);
+      break;
+    case WaitCause::kQuota:
+      this->over_quota[line.key.team].erase(line.number);
+      break;
+    case WaitCause::kRoom:
+      if (line.key.kind == WorkloadKind::kGang) {
+        this->waiting_gangs.erase(line.number);
+      } else {
+        this->LeaveGroup(line);
+      }
+      break;
+    default:
+      break;
   }
 }
 
@@ -168,57 +217,49 @@
     this->order[level].erase({lines.share, team});
     this->order[level].insert({share, team});
   }
+  for (const auto& [group, level] : lines.groups) {
+    group->order[level].erase({lines.share, team});
+    group->order[level].insert({share, team});
+  }
   lines.share = share;
 }
 
 void TaskQueue::JoinGroup(Line& line) {
-  const auto [found, is_new] =
-      this->group_of.try_emplace(line.need, this->groups.size());
-  if (is_new) this->groups.push_back({.need = line.need});
-  this->groups[found->second].lines.push_back(&line);
+  auto& group = this->groups[NeedKeyOf(line.key)];
+  if (!group) group = std::make_unique<NeedGroup>();
+  const auto level = static_cast<size_t>(line.effective);
+  OrderedLines& lines = group->lines[level][line.key.team];
+  if (lines.empty()) {
+    TeamLines& team = this->TeamOf(line.key.team);
+    group->order[level].insert({team.share, line.key.team});
+    team.groups.insert({group.get(), level});
+  }
+  lines[{line.due, line.number}] = &line;
+  ++group->size;
 }
 
 void TaskQueue::LeaveGroup(Line& line) {
-  const size_t index = this->group_of.at(line.need);
-  NeedGroup& group = this->groups[index];
-  std::erase(group.lines, &line);
-  if (!group.lines.empty()) return;
-  this->group_of.erase(line.need);
-  if (index + 1 < this->groups.size()) {
-    group = std::move(this->groups.back());
-    this->group_of[group.need] = index;
+  const auto found = this->groups.find(NeedKeyOf(line.key));
+  NeedGroup& group = *found->second;
+  const auto level = static_cast<size_t>(line.effective);
+  const auto lines = group.lines[level].find(line.key.team);
+  lines->second.erase({line.due, line.number});
+  if (lines->second.empty()) {
+    TeamLines& team = this->TeamOf(line.key.team);
+    group.order[level].erase({team.share, line.key.team});
+    team.groups.erase({&group, level});
+    group.lines[level].erase(lines);
   }
-  this->groups.pop_back();
+  if (--group.size == 0) this->groups.erase(found);
 }
 
-void TaskQueue::Park(Line& line, WaitCause cause, const PlacementNeed& need) {
-  this->Deactivate(line);
+void TaskQueue::Park(Line& line, WaitCause cause) {
+  this->Detach(line);
   line.parked = cause;
-  line.need = need;
-  if (cause == WaitCause::kQuota) {
-    this->over_quota[line.key.team].insert(line.number);
-  } else if (cause == WaitCause::kRoom &&
-             line.key.kind == WorkloadKind::kGang) {
-    this->waiting_gangs.insert(line.number);
-  } else if (cause == WaitCause::kRoom) {
-    this->JoinGroup(line);
-  }
+  this->Attach(line);
 }
 
-void TaskQueue::Unpark(Line& line) {
-  if (line.parked == WaitCause::kQuota) {
-    this->over_quota[line.key.team].erase(line.number);
-  } else if (line.parked == WaitCause::kRoom) {
-    if (this->waiting_gangs.erase(line.number) == 0) this->LeaveGroup(line);
-  }
-  line.parked = WaitCause::kNothing;
-}
-
-void TaskQueue::Wake(Line& line) {
-  if (line.parked == WaitCause::kNothing) return;
-  this->Unpark(line);
-  this->Activate(line);
-}
+void TaskQueue::Wake(Line& line) { this->Park(line, WaitCause::kNothing); }
 
 void TaskQueue::WakeAll() {
   for (const auto& [number, line] : this->by_number) this->Wake(*line);
@@ -227,47 +268,27 @@
 void TaskQueue::WakeQuota(uint32_t team) {
   const auto found = this->over_quota.find(team);
   if (found == this->over_quota.end()) return;
-  const std::set<uint64_t> numbers = std::exchange(found->second, {});
+  const std::set<uint64_t> numbers = found->second;
   for (const uint64_t number : numbers) this->Wake(*this->by_number.at(number));
 }
 
-bool TaskQueue::HasBetterClaim(const Line& left, const Line& right) const {
-  const auto claim = [this](const Line& line) {
-    return std::tuple(kPriorityCount - static_cast<size_t>(line.effective),
-                      this->teams[line.key.team].share, line.due, line.number);
-  };
-  return claim(left) < claim(right);
-}
-
-void TaskQueue::WakeBest(NeedGroup& group) {
-  Line* best = *std::ranges::min_element(
-      group.lines, [this](const Line* left, const Line* right) {
-        return this->HasBetterClaim(*left, *right);
-      });
-  this->Wake(*best);
+Line* TaskQueue::BestOf(const NeedGroup& group) {
+  for (size_t level = kPriorityCount; level-- > 0;) {
+    if (group.order[level].empty()) continue;
+    const uint32_t team = group.order[level].begin()->second;
+    return group.lines[level].at(team).begin()->second;
+  }
+  return nullptr;
 }
 
-void TaskQueue::WakeRoom(std::span<const platform::Resources> rooms) {
-  if (rooms.empty()) return;
-  // Waking may drop the group and move the last one into its place.
-  for (size_t i = this->groups.size(); i-- > 0;) {
-    const PlacementNeed& need = this->groups[i].need;
-    const bool fits = std::ranges::any_of(
-        rooms, [&](const auto& room) { return need.room.FitsIn(room); });
-    if (fits) this->WakeBest(this->groups[i]);
-  }
-  const std::set<uint64_t> gangs = std::exchange(this->waiting_gangs, {});
-  for (const uint64_t number : gangs) {
-    Line& line = *this->by_number.at(number);
-    line.parked = WaitCause::kNothing;
-    this->Activate(line);
-  }
+void TaskQueue::WakeGangs() {
+  const std::set<uint64_t> gangs = this->waiting_gangs;
+  for (const uint64_t number : gangs) this->Wake(*this->by_number.at(number));
 }
 
-void TaskQueue::WakeNext(const PlacementNeed& need) {
-  if (const auto found = this->group_of.find(need);
-      found != this->group_of.end()) {
-    this->WakeBest(this->groups[found->second]);
+void TaskQueue::WakeNext(const NeedKey& need) {
+  if (const auto found = this->groups.find(need); found != this->groups.end()) {
+    this->Wake(*BestOf(*found->second));
   }
 }
 
--- a/src/agatepass/placement/task_queue.h
+++ b/src/agatepass/placement/task_queue.h
@@ -10,9 +10,9 @@
 #ifndef AGATEPASS_PLACEMENT_TASK_QUEUE_H_
 #define AGATEPASS_PLACEMENT_TASK_QUEUE_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "agatepass/base/time.h"
 #include "agatepass/placement/cell.h"
 #include "agatepass/placement/explanation.h"
@@ -72,16 +73,41 @@
   WaitCause parked = WaitCause::kNothing;
   /** The cause last given in a decision. */
   WaitCause announced = WaitCause::kNothing;
-  /** kRoom: what the head needed. */
-  PlacementNeed need;
 };
 
+/** Tasks with equal keys need the same of a worker at any time, whoever's they
+ * are: where one finds no room, no other does. */
+struct NeedKey {
+  uint32_t workload = 0;
+  LabelNumber label = 0;
+  WorkloadKind kind = WorkloadKind::kBatch;
+  bool urgent = false;
+  bool checkpointable = false;
+  int64_t millicores = 0;
+  int64_t memory_mib = 0;
+  int64_t accelerators = 0;
+  int64_t run_time_microseconds = 0;
+
+  bool operator==(const NeedKey&) const = default;
+
+  template <typename Hasher>
+  friend Hasher AbslHashValue(Hasher hasher, const NeedKey& key) {
+    return Hasher::combine(std::move(hasher), key.workload, key.label, key.kind,
+                           key.urgent, key.checkpointable, key.millicores,
+                           key.memory_mib, key.accelerators,
+                           key.run_time_microseconds);
+  }
+};
+
+/** Returns the key of what the tasks of a line need. */
+NeedKey NeedKeyOf(const LineKey& line);
+
 /** The waiting tasks of all teams.
  *
  * \code
  * queue.Push(record);
  * while (Line* line = queue.Front()) {
- *   if (!TryPlace(*line->head)) queue.Park(*line, WaitCause::kRoom, need);
+ *   if (!TryPlace(*line->head)) queue.Park(*line, WaitCause::kRoom);
  * }
  * \endcode
  */
@@ -97,7 +123,7 @@
   Line* Front() const;
 
   /** Sets a line aside until it is woken. */
-  void Park(Line& line, WaitCause cause, const PlacementNeed& need);
+  void Park(Line& line, WaitCause cause);
 
   /** Puts a parked line back among those to try. */
   void Wake(Line& line);
@@ -109,12 +135,15 @@
   void WakeQuota(uint32_t team);
 
   /** Wakes, for each need that fits one of `rooms`, the line with the best
-   * claim; and all gangs. */
-  void WakeRoom(std::span<const platform::Resources> rooms);
-
-  /** After a task with `need` was placed: wakes the next line with that need.
+   * claim; and all gangs.
+   * \param room_needed returns what the head of a line needs now.
    */
-  void WakeNext(const PlacementNeed& need);
+  template <typename RoomNeeded>
+  void WakeRoom(std::span<const platform::Resources> rooms,
+                RoomNeeded&& room_needed);
+
+  /** Wakes the next line that needs the same as one that was placed. */
+  void WakeNext(const NeedKey& need);
 
   /** Sets the weighted share of the cell that a team has. */
   void SetShare(uint32_t team, double share);
@@ -137,30 +166,37 @@
   size_t lines() const { return this->by_number.size(); }
 
  private:
-  struct TeamLines {
-    double share = 0;
-    /** Lines to try, by due time and number. */
-    std::array<std::map<std::pair<base::Instant, uint64_t>, Line*>,
-               kPriorityCount>
-        ready;
-  };
+  /** Lines by due time and number. */
+  using OrderedLines = std::map<std::pair<base::Instant, uint64_t>, Line*>;
 
-  /** Parked lines whose heads need the same. */
+  /** Parked lines whose heads need the same, by priority and team. */
   struct NeedGroup {
-    PlacementNeed need;
-    std::vector<Line*> lines;
+    std::array<absl::flat_hash_map<uint32_t, OrderedLines>, kPriorityCount>
+        lines;
+    /** The teams of `lines`, by share. */
+    std::array<std::set<std::pair<double, uint32_t>>, kPriorityCount> order;
+    size_t size = 0;
   };
 
+  struct TeamLines {
+    double share = 0;
+    /** Lines to try. */
+    std::array<OrderedLines, kPriorityCount> ready;
+    /** Where lines of the team are parked, by group and priority. */
+    absl::flat_hash_set<std::pair<NeedGroup*, size_t>> groups;
+  };
+
+  void Attach(Line& line);
+  void Detach(Line& line);
   void Activate(Line& line);
   void Deactivate(Line& line);
-  void Unpark(Line& line);
+  void JoinGroup(Line& line);
+  void LeaveGroup(Line& line);
   void OnNewHead(Line& line);
   void ScheduleAgeing(Line& line);
   void Insert(Line& line, TaskRecord& task);
-  void WakeBest(NeedGroup& group);
-  void JoinGroup(Line& line);
-  void LeaveGroup(Line& line);
-  bool HasBetterClaim(const Line& left, const Line& right) const;
+  static Line* BestOf(const NeedGroup& group);
+  void WakeGangs();
   TeamLines& TeamOf(uint32_t team);
 
   absl::flat_hash_map<LineKey, std::unique_ptr<Line>> by_key;
@@ -169,8 +205,7 @@
   /** Teams with lines to try, by share. */
   std::array<std::set<std::pair<double, uint32_t>>, kPriorityCount> order;
   std::set<std::pair<base::Instant, uint64_t>> ageing;
-  std::vector<NeedGroup> groups;
-  absl::flat_hash_map<PlacementNeed, size_t> group_of;
+  absl::flat_hash_map<NeedKey, std::unique_ptr<NeedGroup>> groups;
   std::map<uint32_t, std::set<uint64_t>> over_quota;
   std::set<uint64_t> waiting_gangs;
   base::Duration ageing_step = std::chrono::minutes(10);
@@ -178,6 +213,23 @@
   size_t tasks = 0;
 };
 
+template <typename RoomNeeded>
+void TaskQueue::WakeRoom(std::span<const platform::Resources> rooms,
+                         RoomNeeded&& room_needed) {
+  if (rooms.empty()) return;
+  std::vector<Line*> woken;
+  for (const auto& [key, group] : this->groups) {
+    Line* best = BestOf(*group);
+    const platform::Resources need = room_needed(*best);
+    const bool fits = std::ranges::any_of(
+        rooms, [&](const auto& room) { return need.FitsIn(room); });
+    if (fits) woken.push_back(best);
+  }
+  // The order of waking has no effect on the order of trying.
+  for (Line* line : woken) this->Wake(*line);
+  this->WakeGangs();
+}
+
 /** Returns the key of the line that `task` belongs in. */
 LineKey KeyOf(const TaskRecord& task);
 
