--- a/src/agatepass/membership/worker_ownership.h
+++ b/src/agatepass/membership/worker_ownership.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "agatepass/base/identifier.h"
@@ -42,6 +43,8 @@
   base::WorkerId worker;
   platform::Epoch epoch = 0;
   platform::Resources total;
+  /** When the claim was sent. */
+  base::Instant asked;
   std::vector<platform::TaskReport> tasks;
 };
 
@@ -54,6 +57,8 @@
 /** A fresh report of a worker that is held. */
 struct WorkerReported {
   base::WorkerId worker;
+  /** When the renewal was sent: what started since may be missing. */
+  base::Instant asked;
   std::vector<platform::TaskReport> tasks;
 };
 
@@ -99,9 +104,18 @@
   OwnershipEffects OnStaleEpoch(const base::WorkerId& worker,
                                 platform::Epoch epoch);
 
+  /** Renews every held worker with the next OnTick, to learn soon what ended.
+   * \param least_age renewals younger than this are left as they are. */
+  void RenewSoon(base::Duration least_age, base::Instant now);
+
   /** Lets the worker forget `task` with the next renewal. */
   void Acknowledge(const base::WorkerId& worker, const base::TaskId& task);
 
+  /** Claims a held worker anew: its answer proves what it runs, and a start
+   * that is still on its way is refused by the raised epoch. Comes back as
+   * gained. Does nothing for a worker that is not held. */
+  OwnershipEffects Reclaim(const base::WorkerId& worker, base::Instant now);
+
   /** Gives every worker up; none is claimed again. */
   OwnershipEffects Drain(base::Instant now);
 
@@ -120,12 +134,15 @@
   struct Worker {
     State state = State::kFree;
     bool listed = true;
+    /** Whether this host should hold it, among those that live. */
+    bool wanted = false;
     platform::Epoch epoch = 0;
     /** Holder that the worker named in its last refusal. */
     base::HostId other_holder;
     /** When the lease may lapse at the worker, counted from the sending. */
     base::Instant lapses;
     base::Instant next_call;
+    base::Instant renewed;
     /** Since when another host is the better owner. */
     std::optional<base::Instant> unwanted_since;
     std::vector<base::TaskId> acknowledged;
@@ -138,7 +155,7 @@
     std::vector<base::TaskId> acknowledged;
   };
 
-  bool Wanted(const base::WorkerId& id) const;
+  void Spread();
   void TickFree(const base::WorkerId& id, Worker& worker, base::Instant now,
                 OwnershipEffects* effects);
   void TickHeld(const base::WorkerId& id, Worker& worker, base::Instant now,
