--- a/src/agatepass/jobs/job_keeper.h
+++ b/src/agatepass/jobs/job_keeper.h
@@ -54,8 +54,9 @@
 enum class StartPermission : uint8_t {
   /** Send it; it counts as sent. */
   kGranted,
-  /** Keep the task queued and ask again: since the worker was claimed, this
-   * host has not yet made sure that no other one has adopted its jobs. */
+  /** Keep the task queued and ask again. Either this host has not yet made
+   * sure, since the worker was claimed, that no other one has adopted its jobs;
+   * or the worker's data centre is being added to the job's scope. */
   kNotYet,
   /** Drop the task from the queue: it is cancelled, adopted or running. */
   kDenied,
@@ -247,6 +248,8 @@
 
   // Tasks: job_tasks.cpp.
   JobState* FindJob(const base::JobId& job);
+  bool ScopeCovers(JobState& job, const base::WorkerId& worker,
+                   base::Instant now);
   void AttachTask(JobState& job, uint32_t index, const base::WorkerId& worker);
   void MakeReady(JobState& job, uint32_t index, base::Instant now,
                  base::WallTime wall, Effects& effects);
--- a/src/agatepass/jobs/job_state.h
+++ b/src/agatepass/jobs/job_state.h
@@ -5,6 +5,7 @@
 #define AGATEPASS_JOBS_JOB_STATE_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,9 @@
   /** Proofs with a higher number were given after the job was adopted. */
   uint64_t adopted_at_proof = 0;
   base::Instant adopted_at;
+  /** Data centres added to the scope, with the journal position that must be
+   * committed before a task starts there. */
+  std::map<base::DataCentreId, uint64_t> widened;
 };
 
 /** One task as callers read it. */
--- a/src/agatepass/jobs/job_tasks.cpp
+++ b/src/agatepass/jobs/job_tasks.cpp
@@ -75,6 +75,26 @@
       {MakeTaskId({job.record.id, index, task.attempt}), job.record.id, index});
 }
 
+bool JobKeeper::ScopeCovers(JobState& job, const base::WorkerId& worker,
+                            base::Instant now) {
+  if (job.attached) return true;
+  for (const auto& [data_centre, workers] : this->workers) {
+    if (!workers.contains(worker)) continue;
+    auto& scope = job.record.scope;
+    if (std::find(scope.begin(), scope.end(), data_centre) == scope.end()) {
+      // An adopter must know to ask there before anything starts there.
+      scope.push_back(data_centre);
+      job.widened[data_centre] =
+          this->journal.Append(JobRecorded{job.record}, Urgency::kNow, now);
+    }
+    const auto added = job.widened.find(data_centre);
+    return added == job.widened.end() ||
+           added->second <= this->journal.committed();
+  }
+  // A worker that is in no list set here belongs to the host's own centre.
+  return true;
+}
+
 StartPermission JobKeeper::OnStartSent(const base::TaskId& task,
                                        const base::WorkerId& worker,
                                        platform::Epoch epoch,
@@ -100,6 +120,7 @@
     this->journal.Verify(now);
     return StartPermission::kNotYet;
   }
+  if (!this->ScopeCovers(*job, worker, now)) return StartPermission::kNotYet;
   this->AttachTask(*job, name->index, worker);
   info.state = TaskState::kStarting;
   info.started_as = task;
--- a/src/agatepass/jobs/tests/task_test.cpp
+++ b/src/agatepass/jobs/tests/task_test.cpp
@@ -163,6 +163,22 @@
   EXPECT_TRUE(this->second.seen.ready.empty());
 }
 
+TEST_F(TaskTest, AnotherDataCentreIsJournalledBeforeAStartThere) {
+  const base::JobId job = this->Accepted(1);
+  this->first.SetWorkers("uus-b", {this->w2});
+  const base::TaskId task = this->Ready(0);
+  EXPECT_EQ(this->Start(this->first, task, this->w2, 1),
+            StartPermission::kNotYet);
+  this->Run(milliseconds(20));
+  EXPECT_EQ(this->Start(this->first, task, this->w2, 1),
+            StartPermission::kGranted);
+  this->first.Pause();
+  this->second.Adopt(this->first.keeper.incarnation());
+  this->Run(milliseconds(50));
+  const auto view = this->second.keeper.Find(job, base::TeamId("notices"));
+  EXPECT_EQ(view->record.scope.size(), 2U);
+}
+
 TEST_F(TaskTest, CancelWithoutTheStoreIsNotAcknowledged) {
   const base::JobId job = this->Accepted(1);
   this->store.SetFault(MemoryStoreFault::kDown);
