--- a/src/agatepass/jobs/job_keeper.h
+++ b/src/agatepass/jobs/job_keeper.h
@@ -177,6 +177,12 @@
   absl::StatusOr<JobView> Find(const base::JobId& job,
                                const base::TeamId& team) const;
 
+  /** The record of a job, whoever asks; null if it is not kept here. */
+  const JobRecord* FindRecord(const base::JobId& job) const;
+
+  /** The ids of all jobs kept here, in order. */
+  std::vector<base::JobId> JobIds() const;
+
   /** Reads the journals' names; they come in `effects.journals`. */
   void ListJournals(base::Instant now, Effects& effects);
 
@@ -200,6 +206,9 @@
 
   const Incarnation& incarnation() const { return this->self; }
 
+  /** Whether adopted tasks wait for proofs of workers; see proofs_wanted. */
+  bool awaits_proofs() const { return !this->unproven.empty(); }
+
   /** How many jobs are kept. */
   size_t job_count() const { return this->jobs.size(); }
 
