--- a/src/agatepass/control/invocation.cpp
+++ b/src/agatepass/control/invocation.cpp
@@ -88,15 +88,18 @@
   }
 
   std::string WithId(std::string_view prefix, std::string_view id) {
+    // Tasks are named JOB/INDEX/ATTEMPT; nothing may climb out of the prefix.
     const bool plain =
-        !id.empty() && std::all_of(id.begin(), id.end(), [](char character) {
+        !id.empty() && id.front() != '/' &&
+        id.find("..") == std::string_view::npos &&
+        std::all_of(id.begin(), id.end(), [](char character) {
           return std::isalnum(static_cast<unsigned char>(character)) != 0 ||
-                 std::string_view("-._~:").find(character) !=
+                 std::string_view("-._~:/").find(character) !=
                      std::string_view::npos;
         });
     if (!plain) {
       throw CLI::ValidationError(fmt::format(
-          "\"{}\" is not an id: use letters, digits and -._~:", id));
+          "\"{}\" is not an id: use letters, digits and -._~:/", id));
     }
     return fmt::format("{}{}", prefix, id);
   }
--- a/src/agatepass/control/tests/invocation_test.cpp
+++ b/src/agatepass/control/tests/invocation_test.cpp
@@ -35,11 +35,11 @@
       {{"jobs", "--team", "t"}, "GET /v1/jobs team=t"},
       {{"cancel", "j-7"}, "DELETE /v1/jobs/j-7"},
       {{"cancel", "--team", "t"}, "DELETE /v1/jobs team=t"},
-      {{"why", "j-7.0"}, "GET /v1/why/j-7.0"},
-      {{"settle", "j-7.0", "--ran"},
-       "POST /v1/tasks/j-7.0/settle {\"ran\":true}"},
-      {{"settle", "j-7.0", "--not-run"},
-       "POST /v1/tasks/j-7.0/settle {\"ran\":false}"},
+      {{"why", "j-7/0/1"}, "GET /v1/why/j-7/0/1"},
+      {{"settle", "j-7/0/1", "--ran"},
+       "POST /v1/tasks/j-7/0/1/settle {\"ran\":true}"},
+      {{"settle", "j-7/0/1", "--not-run"},
+       "POST /v1/tasks/j-7/0/1/settle {\"ran\":false}"},
       {{"config", "get"}, "GET /v1/config"},
       {{"config", "status"}, "GET /v1/config/status"},
       {{"preset", "list"}, "GET /v1/presets"},
@@ -63,8 +63,9 @@
 TEST(Invocation, WrongCommandLinesEndWithTheReason) {
   EXPECT_EQ(Parse({"job"}).exit_code, kUsageExitCode);
   EXPECT_EQ(Parse({"cancel"}).exit_code, kUsageExitCode);
-  EXPECT_EQ(Parse({"settle", "j-7.0"}).exit_code, kUsageExitCode);
+  EXPECT_EQ(Parse({"settle", "j-7/0/1"}).exit_code, kUsageExitCode);
   EXPECT_THAT(Parse({"job", "../config"}).output, HasSubstr("is not an id"));
+  EXPECT_EQ(Parse({"job", "j-7/../../config"}).exit_code, kUsageExitCode);
   EXPECT_THAT(Parse({"--gate", "host:1", "jobs"}).output,
               HasSubstr("not IP:PORT"));
   EXPECT_THAT(Parse({"submit", "/nonexistent"}).output,
