Bring the configuration into force over all entry hosts

Cause: services, teams, quotas and presets came from nowhere; entry hosts had no network between them.

Change: EntryHost holds the configuration keeper, so its store calls and gossip are part of what the fault matrix runs; node/configuration_binding turns the configuration into placement policy and service rules; the gate answers the routes of configuration and presets; HostTask sends peers' messages by Cap'n Proto.

--- a/daemons/agatepassd_main.cpp
+++ b/daemons/agatepassd_main.cpp
@@ -28,7 +28,10 @@
     std::cerr << status.message() << '\n';
     return EXIT_FAILURE;
   }
-  task.Start();
+  if (const absl::Status status = task.Start(); !status.ok()) {
+    std::cerr << status.message() << '\n';
+    return EXIT_FAILURE;
+  }
   agatepass::node::StopSequence stop(loop, task, settings.stop_deadline);
   stop.OnStopListening([&gate] { gate.StopListening(); });
   stop.WaitFor([&gate] { return gate.in_flight() == 0; });
--- a/src/agatepass/gate/gate.h
+++ b/src/agatepass/gate/gate.h
@@ -29,11 +29,6 @@
   /** Listens at the address in the settings. */
   absl::Status Listen();
 
-  /** Takes the tokens of the teams from the configuration in force. */
-  void SetTeams(std::span<const TeamToken> tokens) {
-    this->access.SetTeams(tokens);
-  }
-
   /** Called when an operator asks this host to stop. */
   void OnDrain(std::function<void()> handler) {
     this->on_drain = std::move(handler);
@@ -82,6 +77,13 @@
   void ShowWorkers(const Visit& visit, std::string_view rest);
   void ShowUpstreams(const Visit& visit, std::string_view rest);
   void ShowTimeline(const Visit& visit, std::string_view rest);
+  void ShowConfig(const Visit& visit, std::string_view rest);
+  void PutConfig(const Visit& visit, std::string_view rest);
+  void CheckConfig(const Visit& visit, std::string_view rest);
+  void ShowConfigStatus(const Visit& visit, std::string_view rest);
+  void ShowPresets(const Visit& visit, std::string_view rest);
+  void UsePreset(const Visit& visit, std::string_view rest);
+  void SendPut(const Visit& visit, config::PutRequest request);
   void StartDrain(const Visit& visit, std::string_view rest);
   void SettleTask(const Visit& visit, std::string_view rest);
   void ForwardToService(const Visit& visit, std::string_view rest);
--- a/src/agatepass/node/effects.h
+++ b/src/agatepass/node/effects.h
@@ -6,11 +6,13 @@
 #define AGATEPASS_NODE_EFFECTS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/result_code.h"
+#include "agatepass/config/config_keeper.h"
 #include "agatepass/jobs/effects.h"
 #include "agatepass/peers/messages.h"
 #include "agatepass/platform/worker.h"
@@ -47,6 +49,9 @@
   std::vector<jobs::CancelAnswer> cancels;
   std::vector<jobs::SettleAnswer> settles;
   std::vector<PeerSend> peer_sends;
+  /** A configuration that has come into force here. */
+  std::optional<config::AppliedConfiguration> applied;
+  std::vector<config::PutAnswer> puts;
   std::vector<NodeEvent> events;
   /** Another host has adopted this one's jobs: the process must exit. */
   bool fenced = false;
--- a/src/agatepass/node/entry_host.cpp
+++ b/src/agatepass/node/entry_host.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "agatepass/base/result_code.h"
+#include "agatepass/node/configuration_binding.h"
 #include "agatepass/placement/explanation.h"
 #include "fmt/format.h"
 
@@ -45,6 +46,14 @@
   return result;
 }
 
+config::KeeperOptions MakeKeeperOptions(const EntryHostOptions& options) {
+  config::KeeperOptions result;
+  result.own_host = options.self.host;
+  result.incarnation = options.self.number;
+  result.seed = options.seed;
+  return result;
+}
+
 template <typename Item>
 void MoveTo(std::vector<Item>& from, std::vector<Item>& to) {
   to.insert(to.end(), std::make_move_iterator(from.begin()),
@@ -59,11 +68,8 @@
       keeper(options.jobs, options.self, options.seed),
       planner(options.seed),
       ownership(options.self.host, options.ownership),
-      liveness(MakeLivenessOptions(options), now) {}
-
-void EntryHost::SetPolicy(const placement::Policy& policy) {
-  this->planner.SetPolicy(policy);
-}
+      liveness(MakeLivenessOptions(options), now),
+      config(MakeKeeperOptions(options), now) {}
 
 uint64_t EntryHost::Submit(const jobs::JobSpec& spec, Instant now,
                            WallTime wall, Effects& effects) {
@@ -102,6 +108,12 @@
 void EntryHost::OnStoreReply(uint64_t call_id,
                              const platform::StoreReply& reply, Instant now,
                              WallTime wall, Effects& effects) {
+  if ((call_id & kConfigCallBit) != 0) {
+    this->TakeConfigEffects(
+        this->config.OnStoreReply(now, call_id & ~kConfigCallBit, reply),
+        effects);
+    return;
+  }
   jobs::Effects job_effects;
   this->keeper.OnStoreReply(call_id, reply, now, wall, job_effects);
   this->TakeJobEffects(job_effects, now, wall, effects);
@@ -114,6 +126,7 @@
   this->keeper.OnTick(now, wall, job_effects);
   this->TakeJobEffects(job_effects, now, wall, effects);
   this->TickPeers(now, wall, effects);
+  this->TickConfig(now, effects);
   if (this->planner.waiting() > 0) {
     // Work waits for room: learn soon of the tasks that have ended.
     this->ownership.RenewSoon(this->options.busy_renew_period, now);
--- a/src/agatepass/node/entry_host.h
+++ b/src/agatepass/node/entry_host.h
@@ -16,6 +16,7 @@
 #include "absl/status/statusor.h"
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
+#include "agatepass/config/config_keeper.h"
 #include "agatepass/jobs/job_keeper.h"
 #include "agatepass/membership/liveness.h"
 #include "agatepass/membership/worker_ownership.h"
@@ -66,8 +67,10 @@
   void OnPeerMessage(const peers::Envelope& envelope, base::Instant now,
                      base::WallTime wall, Effects& effects);
 
-  /** Puts a policy in force. */
-  void SetPolicy(const placement::Policy& policy);
+  /** Starts an operator's change of the configuration; one answer follows in
+   * `puts`. \return its number. */
+  uint64_t PutConfiguration(config::PutRequest request, base::Instant now,
+                            base::WallTime wall, Effects& effects);
 
   /** Takes a job in. \return the number of its answer. */
   uint64_t Submit(const jobs::JobSpec& spec, base::Instant now,
@@ -112,6 +115,7 @@
   absl::StatusOr<std::string> Explain(std::string_view id,
                                       base::Instant now) const;
 
+  const config::ConfigKeeper& configuration() const { return this->config; }
   const membership::Liveness& members() const { return this->liveness; }
   const jobs::JobKeeper& job_keeper() const { return this->keeper; }
   const placement::Planner& placement_planner() const { return this->planner; }
@@ -182,6 +186,12 @@
   void NoteForeignTasks(const base::WorkerId& worker,
                         std::span<const platform::TaskReport> reports);
 
+  // entry_host_config.cpp
+  void TickConfig(base::Instant now, Effects& effects);
+  void TakeConfigEffects(config::KeeperEffects from, Effects& effects);
+  bool TakeConfigMessage(const peers::Envelope& envelope, base::Instant now,
+                         Effects& effects);
+
   // entry_host_lending.cpp
   std::optional<base::HostId> RoomiestPeer() const;
   std::optional<base::WorkerId> EmptiestWorker(
@@ -215,6 +225,8 @@
   placement::Planner planner;
   membership::WorkerOwnership ownership;
   membership::Liveness liveness;
+  config::ConfigKeeper config;
+  uint64_t next_put = 1;
   RunningTasks running;
   std::map<base::WorkerId, WorkerPlace> places;
   std::map<base::WorkerId, platform::Resources> held;
--- a/src/agatepass/node/entry_host_peers.cpp
+++ b/src/agatepass/node/entry_host_peers.cpp
@@ -74,7 +74,7 @@
 
 membership::OwnReport EntryHost::MakeReport() const {
   membership::OwnReport report;
-  report.config_revision = this->planner.policy().revision;
+  report.config_revision = this->config.revision();
   report.room.queued_tasks = static_cast<uint32_t>(this->planner.waiting());
   for (const auto& [worker, total] : this->held) {
     report.workers.push_back(worker);
@@ -141,6 +141,11 @@
     membership::LivenessEffects changes = this->liveness.OnHeartbeat(
         now, envelope.sender, envelope.incarnation, *beat);
     this->TakeLiveness(changes, effects);
+    this->TakeConfigEffects(this->config.OnPeerRevision(now, envelope.sender,
+                                                        beat->config_revision),
+                            effects);
+  } else if (this->TakeConfigMessage(envelope, now, effects)) {
+    return;
   } else if (std::holds_alternative<peers::TaskQuery>(envelope.message)) {
     this->proof_seekers[envelope.sender] = now;
     this->ownership.RenewSoon(base::Duration(0), now);
--- a/src/agatepass/node/host_task.cpp
+++ b/src/agatepass/node/host_task.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "agatepass/node/configuration_binding.h"
 #include "spdlog/spdlog.h"
 
 namespace agatepass::node {
@@ -36,6 +37,16 @@
   return result;
 }
 
+peers::PeerNetworkOptions MakeNetworkOptions(
+    const settings::HostSettings& settings, const jobs::Incarnation& self) {
+  peers::PeerNetworkOptions result;
+  result.listen = settings.peers;
+  result.own_host = self.host;
+  result.incarnation = self.number;
+  result.seed = self.number;
+  return result;
+}
+
 /** Runs the callback that waits for `answer`, if there is one. */
 template <typename Waiting, typename Answer>
 void Reply(Waiting& waiting, uint64_t number, const Answer& answer) {
@@ -59,9 +70,17 @@
       driver(this->entry_host, this->store, this->workers, this->clock,
              [this](Effects& effects) { this->TakeEffects(effects); }),
       request_task(loop, MakeRelaySettings(settings)),
+      network(loop, MakeNetworkOptions(
+                        settings, this->entry_host.job_keeper().incarnation())),
       events(settings.host, {}) {}
 
-void HostTask::Start() {
+absl::Status HostTask::Start() {
+  this->network.OnMessage([this](const peers::Envelope& envelope) {
+    this->driver.Run([&](Instant now, WallTime wall, Effects& effects) {
+      this->entry_host.OnPeerMessage(envelope, now, wall, effects);
+    });
+  });
+  if (absl::Status status = this->network.Start(); !status.ok()) return status;
   this->ReadHostList();
   this->ticker = this->loop.Every(kTickPeriod, [this] {
     this->driver.Run([this](Instant now, WallTime wall, Effects& effects) {
@@ -69,6 +88,7 @@
     });
     this->CheckDrained();
   });
+  return absl::OkStatus();
 }
 
 void HostTask::Submit(
@@ -99,8 +119,14 @@
   });
 }
 
-void HostTask::SetPolicy(const placement::Policy& policy) {
-  this->entry_host.SetPolicy(policy);
+void HostTask::PutConfiguration(
+    config::PutRequest request,
+    std::function<void(const config::PutAnswer&)> callback) {
+  this->driver.Run([&](Instant now, WallTime wall, Effects& effects) {
+    const uint64_t number = this->entry_host.PutConfiguration(
+        std::move(request), now, wall, effects);
+    this->puts[number] = std::move(callback);
+  });
 }
 
 void HostTask::Drain(std::function<void()> done) {
@@ -134,6 +160,13 @@
   this->has_hosts = true;
   this->workers.SetHosts(this->list);
   this->request_task.SetUpstreams(this->list);
+  std::vector<peers::PeerAddress> peers;
+  for (const platform::HostRecord& host : this->list) {
+    const bool is_peer = host.role == platform::HostRole::kEntryHost &&
+                         host.name != this->settings.host.value;
+    if (is_peer) peers.push_back({base::HostId(host.name), host.endpoint});
+  }
+  this->network.SetPeers(peers);
   this->driver.Run([this](Instant now, WallTime wall, Effects& effects) {
     this->entry_host.SetHosts(this->list, now, wall, effects);
   });
@@ -145,6 +178,17 @@
     this->events.Record(wall, {event.kind, event.subject, event.parent,
                                event.code, event.detail});
   }
+  for (node::PeerSend& send : effects.peer_sends) {
+    this->network.Send(send.to, std::move(send.message));
+  }
+  if (effects.applied) {
+    this->request_task.SetServices(
+        MakeServiceRules(*effects.applied->configuration));
+    if (this->on_applied) this->on_applied(*effects.applied);
+  }
+  for (const config::PutAnswer& answer : effects.puts) {
+    Reply(this->puts, answer.id, answer);
+  }
   for (const jobs::SubmissionAnswer& answer : effects.submissions) {
     Reply(this->submissions, answer.submission_id, answer);
   }
--- a/src/agatepass/node/host_task.h
+++ b/src/agatepass/node/host_task.h
@@ -17,6 +17,7 @@
 #include "agatepass/jobs/effects.h"
 #include "agatepass/node/driver.h"
 #include "agatepass/node/entry_host.h"
+#include "agatepass/peers/peer_network.h"
 #include "agatepass/platform/host_list_client.h"
 #include "agatepass/platform/store_client.h"
 #include "agatepass/platform/worker_client.h"
@@ -46,8 +47,9 @@
   HostTask(const HostTask&) = delete;
   HostTask& operator=(const HostTask&) = delete;
 
-  /** Begins to read the host list and to claim workers. */
-  void Start();
+  /** Listens for peers, begins to read the host list and to claim workers.
+   * \return kInvalidRequest if the peers' address cannot be bound. */
+  absl::Status Start();
 
   /** Takes a job in; `callback` runs once. */
   void Submit(const jobs::JobSpec& spec,
@@ -63,8 +65,15 @@
               std::string_view who,
               std::function<void(const jobs::SettleAnswer&)> callback);
 
-  /** Puts a policy in force. */
-  void SetPolicy(const placement::Policy& policy);
+  /** Changes the configuration; `callback` runs once. */
+  void PutConfiguration(config::PutRequest request,
+                        std::function<void(const config::PutAnswer&)> callback);
+
+  /** Called with each configuration that comes into force. */
+  void OnApplied(
+      std::function<void(const config::AppliedConfiguration&)> handler) {
+    this->on_applied = std::move(handler);
+  }
 
   /** Stops taking and starting work; `done` runs when nothing is under way. */
   void Drain(std::function<void()> done);
@@ -102,6 +111,7 @@
   EntryHost entry_host;
   HostDriver driver;
   relay::Relay request_task;
+  peers::PeerNetwork network;
   timeline::Recorder events;
   std::vector<platform::HostRecord> list;
   bool has_hosts = false;
@@ -110,6 +120,8 @@
   std::map<uint64_t, std::function<void(const jobs::SubmissionAnswer&)>>
       submissions;
   std::map<uint64_t, std::function<void(const jobs::CancelAnswer&)>> cancels;
+  std::map<uint64_t, std::function<void(const config::PutAnswer&)>> puts;
+  std::function<void(const config::AppliedConfiguration&)> on_applied;
   std::map<uint64_t, std::function<void(const jobs::SettleAnswer&)>> settles;
   std::unique_ptr<base::LoopEvent> ticker;
   std::unique_ptr<base::LoopEvent> list_timer;
