--- a/src/agatepass/placement/explanation.cpp
+++ b/src/agatepass/placement/explanation.cpp
@@ -206,7 +206,7 @@
                         PriorityName(why.effective_priority));
   }
   AppendWorkers(why, text);
-  if (why.estimated_wait) {
+  if (why.estimated_wait && why.kind == DecisionKind::kDelay) {
     text += fmt::format("  the next running task should end in: {}\n",
                         Seconds(*why.estimated_wait));
   }
--- a/src/agatepass/placement/planner_events.cpp
+++ b/src/agatepass/placement/planner_events.cpp
@@ -108,7 +108,7 @@
   record->placed = now;
   record->worker = worker;
   record->granted = granted;
-  record->job->assembled = true;
+  if (request.kind == WorkloadKind::kGang) record->job->assembled = true;
   this->ChargeTeam(record->team, granted);
   if (const auto slot = this->workers.Find(worker)) {
     this->workers.Adopt(*slot,
