Include what the control slice and the bench use

Cause: Three files relied on headers that others brought in by chance.

Change: They include them themselves.

Conclusion: None of the behaviour changes.

--- a/bench/agatepass_bench_main.cpp
+++ b/bench/agatepass_bench_main.cpp
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
--- a/src/agatepass/control/invocation.cpp
+++ b/src/agatepass/control/invocation.cpp
@@ -1,8 +1,11 @@
 #include "agatepass/control/invocation.h"
 
 #include <algorithm>
+#include <cctype>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <sstream>
 
 #include "CLI/CLI.hpp"
 #include "agatepass/control/completion.h"
--- a/src/agatepass/control/runner.h
+++ b/src/agatepass/control/runner.h
@@ -4,7 +4,10 @@
 #ifndef AGATEPASS_CONTROL_RUNNER_H_
 #define AGATEPASS_CONTROL_RUNNER_H_
 
+#include <algorithm>
 #include <concepts>
+#include <cstdint>
+#include <limits>
 #include <ostream>
 #include <set>
 #include <string>
