--- a/src/agatepass/relay/tests/admission_test.cpp
+++ b/src/agatepass/relay/tests/admission_test.cpp
@@ -8,7 +8,7 @@
 using base::ResultCode;
 using std::chrono::milliseconds;
 
-const base::Instant kNow{std::chrono::seconds(100)};
+constexpr base::Instant kNow{std::chrono::seconds(100)};
 
 WaitingRequest Make(RequestNumber number, RequestClass request_class,
                     base::Duration time) {
