--- a/src/agatepass/membership/worker_ownership.h
+++ b/src/agatepass/membership/worker_ownership.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "agatepass/base/identifier.h"
@@ -103,6 +104,10 @@
   OwnershipEffects OnStaleEpoch(const base::WorkerId& worker,
                                 platform::Epoch epoch);
 
+  /** Renews every held worker with the next OnTick, to learn soon what ended.
+   * \param least_age renewals younger than this are left as they are. */
+  void RenewSoon(base::Duration least_age, base::Instant now);
+
   /** Lets the worker forget `task` with the next renewal. */
   void Acknowledge(const base::WorkerId& worker, const base::TaskId& task);
 
@@ -111,6 +116,13 @@
    * gained. Does nothing for a worker that is not held. */
   OwnershipEffects Reclaim(const base::WorkerId& worker, base::Instant now);
 
+  /** Gives a held worker up to a host that has asked for it. */
+  OwnershipEffects Lend(const base::WorkerId& worker, base::Instant now);
+
+  /** Claims a worker that its owner has lent; it goes back as soon as it has
+   * been unwanted for the hand-over delay. */
+  OwnershipEffects Borrow(const base::WorkerId& worker, base::Instant now);
+
   /** Gives every worker up; none is claimed again. */
   OwnershipEffects Drain(base::Instant now);
 
@@ -129,12 +141,15 @@
   struct Worker {
     State state = State::kFree;
     bool listed = true;
+    /** Whether this host should hold it, among those that live. */
+    bool wanted = false;
     platform::Epoch epoch = 0;
     /** Holder that the worker named in its last refusal. */
     base::HostId other_holder;
     /** When the lease may lapse at the worker, counted from the sending. */
     base::Instant lapses;
     base::Instant next_call;
+    base::Instant renewed;
     /** Since when another host is the better owner. */
     std::optional<base::Instant> unwanted_since;
     std::vector<base::TaskId> acknowledged;
@@ -147,7 +162,7 @@
     std::vector<base::TaskId> acknowledged;
   };
 
-  bool Wanted(const base::WorkerId& id) const;
+  void Spread();
   void TickFree(const base::WorkerId& id, Worker& worker, base::Instant now,
                 OwnershipEffects* effects);
   void TickHeld(const base::WorkerId& id, Worker& worker, base::Instant now,
