Run the demo under a real configuration; show unowned workers to the planner

Cause: counter quotes failed as no service was configured; a host could refuse a task as never able to run though another host held a worker large enough.

Change: scripts/demo puts examples/demo.ini in force first and checks that every entry host has it; workers that others hold are shown to the planner as unowned, with what they have.

--- a/scripts/demo_day.py
+++ b/scripts/demo_day.py
@@ -14,6 +14,7 @@
 FIRST_PORT = int(os.environ.get("AGATEPASS_DEMO_PORT", "17000"))
 OPERATOR = "operator-demo-token"
 DATA_CENTRES = (("uusimaa", "uus-a", 2, 8), ("pirkanmaa", "pirk-a", 1, 8))
+CONFIGURATION = os.path.join(os.path.dirname(__file__), "..", "examples", "demo.ini")
 SERVICES = ("notices", "quotes")
 
 
@@ -108,6 +109,21 @@
                     raise SystemExit(f"entry host {name} did not become ready; see {self.folder}")
                 time.sleep(0.05)
 
+    def configure(self, seconds=20):
+        """Puts the example configuration in force; returns the seconds until every host has it."""
+        with open(CONFIGURATION, "rb") as file:
+            text = file.read()
+        status, answer = call_json("PUT", self.entry[0][3], "/v1/config?expected=0", text)
+        if status != 200:
+            raise SystemExit(f"the configuration was refused: {answer}")
+        began = time.time()
+        while time.time() - began < seconds:
+            states = [call_json("GET", entry[3], "/v1/config/status")[1] for entry in self.entry]
+            if all(state["revision"] == answer["revision"] for state in states):
+                return time.time() - began
+            time.sleep(0.02)
+        raise SystemExit("the configuration did not reach every entry host")
+
     def workers(self):
         return [host for host in self.hosts if host["role"] == "worker"]
 
@@ -250,6 +266,8 @@
     try:
         cell.run()
         cell.wait_ready()
+        spread = cell.configure()
+        print(f"configuration     in force on every entry host after {spread * 1000:.0f} ms")
         jobs, alert, again, quotes = run_day(cell)
         done = wait_for(jobs)
         good = summarize(cell, done, alert, again, quotes)
--- a/src/agatepass/base/identifier.h
+++ b/src/agatepass/base/identifier.h
@@ -30,7 +30,9 @@
   /** Whether no identifier is set. */
   bool empty() const { return this->value.empty(); }
 
-  auto operator<=>(const Identifier&) const = default;
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  auto operator<=>(const Identifier&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 
   template <typename Hasher>
   friend Hasher AbslHashValue(Hasher hasher, const Identifier& identifier) {
--- a/src/agatepass/node/entry_host.h
+++ b/src/agatepass/node/entry_host.h
@@ -128,6 +128,7 @@
     base::RackId rack;
     std::string label;
     platform::HostState state = platform::HostState::kLive;
+    platform::Resources total;
   };
 
   // entry_host.cpp
--- a/src/agatepass/node/entry_host_workers.cpp
+++ b/src/agatepass/node/entry_host_workers.cpp
@@ -23,11 +23,11 @@
     by_data_centre[host.data_centre].push_back(worker);
     if (host.data_centre != this->options.data_centre) continue;
     own.push_back(host);
-    this->places[worker] = {host.rack, host.label, host.state};
+    this->places[worker] = {host.rack, host.label, host.state, host.total};
   }
   this->ownership.SetWorkers(own);
   this->TakeEntryHosts(hosts, now, effects);
-  for (const auto& [worker, total] : this->held) this->ShowWorker(worker);
+  for (const auto& [worker, place] : this->places) this->ShowWorker(worker);
   jobs::Effects job_effects;
   for (const auto& [data_centre, workers] : by_data_centre) {
     this->keeper.SetWorkers(data_centre, workers, now, wall, job_effects);
@@ -37,15 +37,22 @@
 
 void EntryHost::ShowWorker(const WorkerId& worker) {
   const WorkerPlace& place = this->places[worker];
+  const auto own = this->held.find(worker);
   placement::WorkerView view;
   view.worker = worker;
   view.rack = place.rack;
   view.data_centre = this->options.data_centre;
   view.label = place.label;
-  view.total = this->held[worker];
-  view.state = place.state == platform::HostState::kLeaving
-                   ? placement::WorkerState::kLeaving
-                   : placement::WorkerState::kLive;
+  if (own == this->held.end()) {
+    // Others place on it; what it has still says what could ever run.
+    view.total = place.total;
+    view.state = placement::WorkerState::kUnowned;
+  } else {
+    view.total = own->second;
+    view.state = place.state == platform::HostState::kLeaving
+                     ? placement::WorkerState::kLeaving
+                     : placement::WorkerState::kLive;
+  }
   this->planner.UpsertWorker(view);
 }
 
@@ -136,6 +143,7 @@
     this->running.Remove(task);
   }
   this->planner.RemoveWorker(lost.worker);
+  this->ShowWorker(lost.worker);
   effects.events.push_back({EventKind::kLeaseLost, lost.worker.value, "",
                             base::ResultCode::kOk,
                             fmt::format("epoch {}", lost.epoch)});
