Order the first use of Cap'n Proto's event loop between threads

Cause: the thread sanitizer reported a race on a table that libkj fills on first use; the library is not instrumented, so its own guard is not seen.

Change: the loop is set up under a lock.

--- a/src/agatepass/peers/peer_reactor.cpp
+++ b/src/agatepass/peers/peer_reactor.cpp
@@ -4,6 +4,7 @@
 #include <kj/async-io.h>
 
 #include <array>
+#include <mutex>
 
 #include "agatepass/peers/envelope_codec.h"
 #include "agatepass/peers/metered_stream.h"
@@ -18,6 +19,18 @@
 constexpr size_t kMostArriving = 16384;
 constexpr size_t kMostAccepted = 512;
 
+/** Sets up the library's loop on this thread.
+ *
+ * Its first use on any thread fills tables of the library. The lock orders that
+ * before the use on others, also for the thread sanitizer, which cannot see the
+ * library's own order.
+ */
+kj::AsyncIoContext SetUpLoop() {
+  static std::mutex mutex;
+  const std::lock_guard lock(mutex);
+  return kj::setupAsyncIo();
+}
+
 /** Takes messages of peers in and posts them to the event loop. */
 class Receiver final : public wire::Peer::Server {
  public:
@@ -75,7 +88,7 @@
       : loop(loop),
         options(options),
         mailbox(std::move(mailbox)),
-        io(kj::setupAsyncIo()),
+        io(SetUpLoop()),
         wake(this->io.lowLevelProvider->wrapInputFd(this->mailbox->wake_read)),
         listener(this->io.lowLevelProvider->wrapListenSocketFd(
             listen_descriptor, kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP)),
