Adopt journals only on the larger side of a cut; make the linter clean

Change: only the side that sees most of its data centre's entry hosts adopts; of two equal halves the one with the lowest name does, the other after 30 s.

--- a/bench/membership_main.cpp
+++ b/bench/membership_main.cpp
@@ -163,6 +163,7 @@
          {Disturbance::kNone, Disturbance::kStoreCutOff,
           Disturbance::kHolderKilled}) {
       std::vector<double> spread;
+      spread.reserve(runs);
       for (int run = 0; run < runs; ++run) {
         spread.push_back(MeasureSpread(hosts, disturbance, run * 1000 / runs));
       }
--- a/bench/timeline_main.cpp
+++ b/bench/timeline_main.cpp
@@ -34,6 +34,7 @@
 // Subjects are made beforehand, as the callers of Record have theirs at hand.
 std::vector<std::string> MakeSubjects() {
   std::vector<std::string> subjects;
+  subjects.reserve(kEventsPerBatch);
   for (int number = 0; number < kEventsPerBatch; ++number) {
     subjects.push_back(fmt::format("uus-a-1.3.{}.0", number));
   }
@@ -84,6 +85,7 @@
   for (int question = 0; question < kQuestions; ++question) {
     const auto begin = std::chrono::steady_clock::now();
     std::vector<timeline::HostEvents> found;
+    found.reserve(recorders.size());
     for (const Recorder& recorder : recorders) {
       found.push_back(recorder.Find({.id = subjects[question]}));
     }
--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -153,6 +153,11 @@
       self->EndWithFault();
       return;
     }
+    // Bytes after the answer would be taken for the next request's answer.
+    bufferevent* stream = evhttp_connection_get_bufferevent(self->connection);
+    if (evbuffer_get_length(bufferevent_get_input(stream)) > 0) {
+      self->broken = true;
+    }
     HttpOutcome outcome;
     outcome.delivery = Delivery::kAnswered;
     outcome.answer.status = evhttp_request_get_response_code(message);
--- a/src/agatepass/base/identifier.h
+++ b/src/agatepass/base/identifier.h
@@ -31,8 +31,8 @@
   bool empty() const { return this->value.empty(); }
 
   // clang-tidy 14 takes the defaulted comparison for a null pointer.
-  auto operator<=>(const Identifier&) const =
-      default;  // NOLINT(modernize-use-nullptr)
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  auto operator<=>(const Identifier&) const = default;
 
   template <typename Hasher>
   friend Hasher AbslHashValue(Hasher hasher, const Identifier& identifier) {
--- a/src/agatepass/base/time.h
+++ b/src/agatepass/base/time.h
@@ -40,6 +40,8 @@
 struct WallTime {
   int64_t microseconds = 0;
 
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const WallTime&) const = default;
 };
 
--- a/src/agatepass/jobs/job.h
+++ b/src/agatepass/jobs/job.h
@@ -98,6 +98,8 @@
   base::HostId host;
   uint64_t number = 0;
 
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Incarnation&) const = default;
 
   /** Returns the form HOST/NUMBER. */
--- a/src/agatepass/membership/tests/rendezvous_test.cpp
+++ b/src/agatepass/membership/tests/rendezvous_test.cpp
@@ -14,6 +14,7 @@
 
 std::vector<std::string> MakeNames(int count) {
   std::vector<std::string> names;
+  names.reserve(count);
   for (int i = 0; i < count; ++i)
     names.push_back("uus-a-w" + std::to_string(i));
   return names;
@@ -50,6 +51,7 @@
   const std::vector<std::string> names = MakeNames(540);
   const std::vector<std::string_view> items(names.begin(), names.end());
   std::vector<HostId> hosts;
+  hosts.reserve(9);
   for (int i = 0; i < 9; ++i) hosts.emplace_back("host" + std::to_string(i));
   const std::vector<HostId> before = SpreadByRendezvous(items, hosts);
   hosts.pop_back();
--- a/src/agatepass/membership/tests/worker_ownership_test.cpp
+++ b/src/agatepass/membership/tests/worker_ownership_test.cpp
@@ -39,7 +39,8 @@
     }
   }
 
-  void RunFor(std::vector<WorkerOwnership*> hosts, base::Duration duration) {
+  void RunFor(const std::vector<WorkerOwnership*>& hosts,
+              base::Duration duration) {
     const Instant end = this->now + duration;
     while (this->now < end) {
       this->now += milliseconds(100);
--- a/src/agatepass/node/entry_host.h
+++ b/src/agatepass/node/entry_host.h
@@ -165,6 +165,7 @@
   void ShareWorkers();
   membership::OwnReport MakeReport() const;
   void TickPeers(base::Instant now, base::WallTime wall, Effects& effects);
+  bool MayAdopt(const membership::Member& dead, base::Instant now) const;
   void AdoptOrphans(std::span<const jobs::Incarnation> journals,
                     base::Instant now, jobs::Effects& job_effects);
   void AskForProofs(base::Instant now, base::WallTime wall, Effects& effects);
--- a/src/agatepass/node/entry_host_peers.cpp
+++ b/src/agatepass/node/entry_host_peers.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr base::Duration kJournalListPeriod = std::chrono::seconds(3);
+constexpr base::Duration kEvenSplitWait = std::chrono::seconds(30);
 constexpr base::Duration kProofQueryPeriod = std::chrono::seconds(1);
 constexpr base::Duration kForeignReportPeriod = std::chrono::seconds(1);
 
@@ -105,6 +106,26 @@
   }
 }
 
+// Two hosts that are cut off from each other must not adopt each other's
+// journals: both would be fenced, and each one's jobs would wait for the other.
+// So only the side with most of the data centre's hosts adopts; of two equal
+// sides the one with the lowest name, the other much later.
+bool EntryHost::MayAdopt(const membership::Member& dead, Instant now) const {
+  size_t live = 0;
+  size_t total = 0;
+  HostId lowest;
+  for (const auto& [host, member] : this->liveness.members()) {
+    if (member.data_centre != this->options.data_centre) continue;
+    if (member.state == MemberState::kLeaving) continue;
+    ++total;
+    if (member.live()) ++live;
+    if (lowest.empty()) lowest = host;
+  }
+  if (live * 2 != total) return live * 2 > total;
+  const bool speaks_for_half = lowest == this->options.self.host;
+  return speaks_for_half || now - dead.since >= kEvenSplitWait;
+}
+
 void EntryHost::AdoptOrphans(std::span<const jobs::Incarnation> journals,
                              Instant now, jobs::Effects& job_effects) {
   for (const jobs::Incarnation& journal : journals) {
@@ -115,7 +136,8 @@
     const membership::Member& member = entry->second;
     if (member.data_centre != this->options.data_centre) continue;
     const bool own_earlier_life = journal.host == this->options.self.host;
-    const bool is_dead = member.state == MemberState::kDead;
+    const bool is_dead =
+        member.state == MemberState::kDead && this->MayAdopt(member, now);
     const bool restarted = member.incarnation > journal.number;
     if (own_earlier_life || is_dead || restarted) {
       this->keeper.AdoptJournalOf(journal, now, job_effects);
--- a/src/agatepass/platform/worker_client.cpp
+++ b/src/agatepass/platform/worker_client.cpp
@@ -50,7 +50,7 @@
   }
 }
 
-void WorkerClient::Call(WorkerCall call, WorkerCallback callback) {
+void WorkerClient::Call(const WorkerCall& call, WorkerCallback callback) {
   const auto entry = this->endpoints.find(call.worker);
   if (entry == this->endpoints.end()) {
     this->loop.Post([callback = std::move(callback)] { callback({}); });
--- a/src/agatepass/platform/worker_client.h
+++ b/src/agatepass/platform/worker_client.h
@@ -26,7 +26,7 @@
   /** Sends one command; the callback runs once, within the call's time-out.
    * A worker without a known address gives kNotSent.
    */
-  void Call(WorkerCall call, WorkerCallback callback);
+  void Call(const WorkerCall& call, WorkerCallback callback);
 
   /** Bytes sent and received so far. */
   uint64_t bytes() const {
--- a/src/agatepass/relay/tests/edge_guard_test.cpp
+++ b/src/agatepass/relay/tests/edge_guard_test.cpp
@@ -82,8 +82,11 @@
            "Content-Length : " + size + "\r\n",
        }) {
     this->passed.clear();
-    const std::string answer = this->Exchange(
-        "POST /a HTTP/1.1\r\nHost: a\r\n" + head + "\r\n" + hidden);
+    std::string request = "POST /a HTTP/1.1\r\nHost: a\r\n";
+    request += head;
+    request += "\r\n";
+    request += hidden;
+    const std::string answer = this->Exchange(request);
     EXPECT_TRUE(this->passed.empty()) << head;
     EXPECT_EQ(answer.find("200 OK"), std::string::npos) << head;
   }
--- a/src/agatepass/relay/tests/share_test.cpp
+++ b/src/agatepass/relay/tests/share_test.cpp
@@ -153,7 +153,8 @@
 }
 
 RC_GTEST_PROP(Shares, AnyViewDividesAtMostTheSlots,
-              (uint8_t members, uint8_t departed, std::string upstream)) {
+              (uint8_t members, uint8_t departed,
+               const std::string& upstream)) {
   ShareView view{3, {}, {}};
   for (size_t i = 0; i < members % 12; ++i) view.members.push_back(Host(i));
   for (size_t i = 0; i < departed % 12; ++i)
--- a/tests/faults/matrix_test.cpp
+++ b/tests/faults/matrix_test.cpp
@@ -184,16 +184,18 @@
   return text == nullptr ? preset : std::strtoull(text, nullptr, 10);
 }
 
+// One test for each seed, so that a seed with a fault can be named alone.
+class FaultPair : public ::testing::TestWithParam<uint64_t> {};
+
+TEST_P(FaultPair, HoldsWhatMustAlwaysHold) { RunPair(GetParam()); }
+
 // scripts/faults sets the variables; CI runs the preset seeds.
-TEST(FaultPairs, HoldWhatMustAlwaysHold) {
-  const uint64_t first = ReadVariable("AGATEPASS_FAULT_FROM", 1);
-  const uint64_t count = ReadVariable("AGATEPASS_FAULT_SEEDS", 200);
-  int failed = 0;
-  for (uint64_t seed = first; seed < first + count && failed < 5; ++seed) {
-    RunPair(seed);
-    if (::testing::Test::HasFailure()) ++failed;
-  }
-}
+INSTANTIATE_TEST_SUITE_P(
+    Seeds, FaultPair,
+    ::testing::Range(ReadVariable("AGATEPASS_FAULT_FROM", 1),
+                     ReadVariable("AGATEPASS_FAULT_FROM", 1) +
+                         ReadVariable("AGATEPASS_FAULT_SEEDS", 300)),
+    [](const auto& info) { return "seed" + std::to_string(info.param); });
 
 }  // namespace
 }  // namespace agatepass::faults
