--- a/fakes/worker_model.cpp
+++ b/fakes/worker_model.cpp
@@ -34,6 +34,11 @@
 
 WorkerReply WorkerModel::Handle(const WorkerCall& call, base::Instant now) {
   this->Advance(now);
+  if (!this->remembers_since) {
+    // A worker that was not replaced has been there since long before.
+    constexpr base::Duration kUpTime = std::chrono::hours(24);
+    this->remembers_since = this->was_reset ? now : now - kUpTime;
+  }
   WorkerReply reply;
   reply.outcome = Outcome::kDone;
   const bool allowed =
@@ -51,6 +56,7 @@
     }
     if (call.verb == WorkerVerb::kClaim || call.verb == WorkerVerb::kRenew) {
       this->FillReport(&reply);
+      reply.memory_age = now - *this->remembers_since;
     }
   }
   reply.epoch = this->epoch;
@@ -123,6 +129,8 @@
 
 void WorkerModel::Reset() {
   this->tasks.clear();
+  this->remembers_since.reset();
+  this->was_reset = true;
   this->holder = base::HostId();
   this->lapses = base::Instant();
 }
--- a/fakes/worker_model.h
+++ b/fakes/worker_model.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,9 @@
   base::Instant lapses;
   std::map<base::TaskId, Task> tasks;
   std::map<base::TaskId, int> started;
+  /** Since when it remembers; set by the first command. */
+  std::optional<base::Instant> remembers_since;
+  bool was_reset = false;
   bool fails_everything = false;
   bool was_overloaded = false;
 };
--- a/src/agatepass/jobs/job_keeper.cpp
+++ b/src/agatepass/jobs/job_keeper.cpp
@@ -79,6 +79,7 @@
   this->journal.Poll(now, effects.store_calls);
   if (this->journal.state() == JournalState::kOpen) {
     this->claims.Poll(now, effects.store_calls);
+    this->BeginWantedAdoptions();
     this->adoptions.Poll(now, effects.store_calls);
   }
   for (size_t call = before; call < effects.store_calls.size(); ++call) {
--- a/src/agatepass/jobs/job_keeper.h
+++ b/src/agatepass/jobs/job_keeper.h
@@ -209,6 +209,10 @@
   /** Whether adopted tasks wait for proofs of workers; see proofs_wanted. */
   bool awaits_proofs() const { return !this->unproven.empty(); }
 
+  /** When the oldest job that waits for proofs was accepted; nothing if none
+   * does. */
+  std::optional<base::WallTime> OldestUnproven() const;
+
   /** How many jobs are kept. */
   size_t job_count() const { return this->jobs.size(); }
 
@@ -281,6 +285,7 @@
                         Effects& effects);
 
   // Adoption and proofs: job_recovery.cpp.
+  void BeginWantedAdoptions();
   void FinishSealing(const SealedJournal& sealed, base::Instant now,
                      base::WallTime wall, Effects& effects);
   void CarryJob(const JobRecord& record, base::Instant now, Effects& effects);
@@ -302,6 +307,9 @@
   KeyClaims claims;
   Adoptions adoptions;
   std::map<base::JobId, JobState> jobs;
+  /** Journals to adopt once the own one is known not to be sealed, and since
+   * when that is wanted. */
+  std::map<Incarnation, base::Instant> wanted_adoptions;
   std::map<std::pair<base::TeamId, std::string>, base::JobId> keys;
   /** Jobs that are not accepted yet, or have a caller waiting. */
   std::set<base::JobId> submitting;
--- a/src/agatepass/jobs/job_recovery.cpp
+++ b/src/agatepass/jobs/job_recovery.cpp
@@ -31,14 +31,28 @@
 void JobKeeper::AdoptJournalOf(const Incarnation& dead, base::Instant now,
                                Effects& effects) {
   if (this->journal.state() != JournalState::kOpen) return;
-  this->adoptions.Begin(dead);
+  this->wanted_adoptions.try_emplace(dead, now);
+  this->journal.Verify(now);
+  this->BeginWantedAdoptions();
   const size_t before = effects.store_calls.size();
+  this->journal.Poll(now, effects.store_calls);
   this->adoptions.Poll(now, effects.store_calls);
   for (size_t call = before; call < effects.store_calls.size(); ++call) {
     this->sent_at[effects.store_calls[call].call_id] = this->newest;
   }
 }
 
+// A host whose own journal was sealed without its notice must not seal another
+// one: nobody could then finish either adoption. So it looks at its own first.
+void JobKeeper::BeginWantedAdoptions() {
+  std::erase_if(this->wanted_adoptions, [this](const auto& wanted) {
+    const auto& [dead, since] = wanted;
+    if (!this->journal.VerifiedSince(since)) return false;
+    this->adoptions.Begin(dead);
+    return true;
+  });
+}
+
 void JobKeeper::FinishSealing(const SealedJournal& sealed, base::Instant now,
                               base::WallTime wall, Effects& effects) {
   if (sealed.lost_to || sealed.malformed) {
@@ -167,6 +181,15 @@
   }
 }
 
+std::optional<base::WallTime> JobKeeper::OldestUnproven() const {
+  std::optional<base::WallTime> oldest;
+  for (const base::JobId& id : this->unproven) {
+    const base::WallTime accepted = this->jobs.at(id).record.accepted;
+    if (!oldest || accepted < *oldest) oldest = accepted;
+  }
+  return oldest;
+}
+
 void JobKeeper::SetWorkers(const base::DataCentreId& data_centre,
                            std::span<const base::WorkerId> workers,
                            base::Instant now, base::WallTime wall,
--- a/src/agatepass/membership/worker_ownership.cpp
+++ b/src/agatepass/membership/worker_ownership.cpp
@@ -157,8 +157,8 @@
   worker.epoch = reply.epoch;
   worker.lapses = lapses;
   worker.next_call = sent.sent + this->options.renew_period;
-  effects->gained.push_back(
-      {sent.worker, reply.epoch, reply.total, sent.sent, reply.tasks});
+  effects->gained.push_back({sent.worker, reply.epoch, reply.total, sent.sent,
+                             reply.memory_age, reply.tasks});
 }
 
 void WorkerOwnership::TakeRenewal(const Pending& sent, const WorkerReply& reply,
@@ -178,7 +178,8 @@
     return;
   }
   worker.lapses = std::max(worker.lapses, sent.sent + this->options.lease);
-  effects->reports.push_back({sent.worker, sent.sent, reply.tasks});
+  effects->reports.push_back(
+      {sent.worker, sent.sent, reply.memory_age, reply.tasks});
 }
 
 OwnershipEffects WorkerOwnership::OnStaleEpoch(const WorkerId& worker,
--- a/src/agatepass/membership/worker_ownership.h
+++ b/src/agatepass/membership/worker_ownership.h
@@ -45,6 +45,8 @@
   platform::Resources total;
   /** When the claim was sent. */
   base::Instant asked;
+  /** How long the worker remembers what it was given. */
+  base::Duration memory_age{0};
   std::vector<platform::TaskReport> tasks;
 };
 
@@ -59,6 +61,8 @@
   base::WorkerId worker;
   /** When the renewal was sent: what started since may be missing. */
   base::Instant asked;
+  /** How long the worker remembers what it was given. */
+  base::Duration memory_age{0};
   std::vector<platform::TaskReport> tasks;
 };
 
--- a/src/agatepass/node/entry_host.h
+++ b/src/agatepass/node/entry_host.h
@@ -169,9 +169,9 @@
   void AdoptOrphans(std::span<const jobs::Incarnation> journals,
                     base::Instant now, jobs::Effects& job_effects);
   void AskForProofs(base::Instant now, base::WallTime wall, Effects& effects);
-  void SendProofs(const base::WorkerId& worker, base::Instant asked,
-                  std::span<const platform::TaskReport> reports,
-                  Effects& effects);
+  void SendProofs(const membership::WorkerReported& report, Effects& effects);
+  jobs::InventoryKind ClaimKind(base::Duration memory_age,
+                                base::WallTime wall) const;
   void TakeProof(const peers::TaskAnswer& answer, base::Instant now,
                  base::WallTime wall, Effects& effects);
   void AskForRoom(base::Instant now, Effects& effects);
--- a/src/agatepass/node/entry_host_peers.cpp
+++ b/src/agatepass/node/entry_host_peers.cpp
@@ -1,8 +1,11 @@
 // What entry hosts do for each other: signs of life, taking over from the dead,
 // reports of tasks whose job another host keeps.
 #include <algorithm>
+#include <optional>
+#include <string>
 #include <utility>
 
+#include "agatepass/base/text.h"
 #include "agatepass/node/entry_host.h"
 #include "fmt/format.h"
 
@@ -18,6 +21,7 @@
 namespace {
 
 constexpr base::Duration kJournalListPeriod = std::chrono::seconds(3);
+constexpr base::Duration kClockMargin = std::chrono::seconds(5);
 constexpr base::Duration kEvenSplitWait = std::chrono::seconds(30);
 constexpr base::Duration kProofQueryPeriod = std::chrono::seconds(1);
 constexpr base::Duration kForeignReportPeriod = std::chrono::seconds(1);
@@ -191,31 +195,50 @@
 
 // An inventory of a renewal proves what an earlier owner's starts came to: the
 // epoch held here is above all of theirs.
-void EntryHost::SendProofs(const WorkerId& worker, Instant asked,
-                           std::span<const platform::TaskReport> reports,
+void EntryHost::SendProofs(const membership::WorkerReported& report,
                            Effects& effects) {
+  if (this->proof_seekers.empty()) return;
   peers::TaskAnswer answer;
-  // The first row has no task: it names the worker that is covered.
-  answer.reports.push_back({worker, {}});
-  for (const platform::TaskReport& report : reports) {
-    answer.reports.push_back({worker, report});
+  // The first row has no task: it names the worker that is covered, and tells
+  // in milliseconds how long the worker remembers.
+  platform::TaskReport covered;
+  covered.result = std::to_string(base::ToMilliseconds(report.memory_age));
+  answer.reports.push_back({report.worker, std::move(covered)});
+  for (const platform::TaskReport& task : report.tasks) {
+    answer.reports.push_back({report.worker, task});
   }
   for (const auto& [seeker, since] : this->proof_seekers) {
-    if (asked >= since) effects.peer_sends.push_back({seeker, answer});
+    if (report.asked < since) continue;
+    effects.peer_sends.push_back({seeker, answer});
   }
 }
 
+// A worker that forgot everything after a job was accepted proves nothing about
+// that job. The margin is for wall clocks of entry hosts that differ.
+jobs::InventoryKind EntryHost::ClaimKind(base::Duration memory_age,
+                                         WallTime wall) const {
+  const std::optional<WallTime> oldest = this->keeper.OldestUnproven();
+  if (!oldest) return jobs::InventoryKind::kClaim;
+  const base::Duration job_age(wall.microseconds - oldest->microseconds);
+  return memory_age >= job_age + kClockMargin
+             ? jobs::InventoryKind::kClaim
+             : jobs::InventoryKind::kClaimWithoutMemory;
+}
+
 void EntryHost::TakeProof(const peers::TaskAnswer& answer, Instant now,
                           WallTime wall, Effects& effects) {
   if (answer.reports.empty()) return;
   const WorkerId& worker = answer.reports.front().worker;
+  const base::Duration memory_age = std::chrono::milliseconds(
+      base::ParseNumber<int64_t>(answer.reports.front().report.result)
+          .value_or(0));
   std::vector<platform::TaskReport> tasks;
   for (const peers::LocatedReport& row : answer.reports) {
     if (!row.report.task.empty()) tasks.push_back(row.report);
   }
   jobs::Effects job_effects;
   this->keeper.OnInventory({.worker = worker,
-                            .kind = jobs::InventoryKind::kClaim,
+                            .kind = this->ClaimKind(memory_age, wall),
                             .asked = this->proofs_asked,
                             .tasks = tasks},
                            now, wall, job_effects);
--- a/src/agatepass/node/entry_host_workers.cpp
+++ b/src/agatepass/node/entry_host_workers.cpp
@@ -97,7 +97,7 @@
     this->TakeGain(gained, now, wall, effects);
   }
   for (const membership::WorkerReported& report : from.reports) {
-    this->SendProofs(report.worker, report.asked, report.tasks, effects);
+    this->SendProofs(report, effects);
     this->TakeReports(report.worker, report.tasks, now, wall, effects);
     jobs::Effects job_effects;
     this->keeper.OnInventory(
@@ -125,7 +125,7 @@
   this->TakeReports(gained.worker, gained.tasks, now, wall, effects);
   jobs::Effects job_effects;
   this->keeper.OnInventory({.worker = gained.worker,
-                            .kind = jobs::InventoryKind::kClaim,
+                            .kind = this->ClaimKind(gained.memory_age, wall),
                             .epoch = gained.epoch,
                             .asked = gained.asked,
                             .own_claim = true,
--- a/src/agatepass/platform/worker.h
+++ b/src/agatepass/platform/worker.h
@@ -107,6 +107,9 @@
   /** The worker's epoch and holder when it answered, also after a refusal. */
   Epoch epoch = 0;
   base::HostId holder;
+  /** kClaim, kRenew: how long the worker remembers what it was given; a
+   * replaced or restarted one starts at zero. */
+  base::Duration memory_age{0};
   /** kClaim, kRenew: what the worker has. */
   Resources total;
   /** kClaim, kRenew: every task running, or ended and not acknowledged. */
--- a/src/agatepass/platform/worker_codec.cpp
+++ b/src/agatepass/platform/worker_codec.cpp
@@ -96,6 +96,7 @@
   WorkerReply reply;
   reply.epoch = body.at("epoch").get<Epoch>();
   reply.holder = base::HostId(body.at("holder").get<std::string>());
+  reply.memory_age = DecodeMilliseconds(body, "memory_ms");
   if (body.contains("total")) reply.total = DecodeResources(body["total"]);
   for (const json& report : body.value("tasks", json::array())) {
     reply.tasks.push_back(DecodeReport(report));
@@ -152,6 +153,9 @@
 
 std::string EncodeWorkerReply(const WorkerReply& reply) {
   json body = {{"epoch", reply.epoch}, {"holder", reply.holder.value}};
+  if (reply.memory_age.count() > 0) {
+    body["memory_ms"] = base::ToMilliseconds(reply.memory_age);
+  }
   if (reply.total != Resources{}) body["total"] = EncodeResources(reply.total);
   for (const TaskReport& report : reply.tasks) {
     json entry = {{"task", report.task.value},
