Ask the present owner about tasks on workers that were lost

Change: a host asks its peers about such workers each second; each query has a number that comes back with the answer, together with the worker's epoch.

--- a/src/agatepass/jobs/job_keeper.h
+++ b/src/agatepass/jobs/job_keeper.h
@@ -213,6 +213,9 @@
    * does. */
   std::optional<base::WallTime> OldestUnproven() const;
 
+  /** Workers that may run tasks of jobs kept here. */
+  std::vector<base::WorkerId> WorkersInUse() const;
+
   /** How many jobs are kept. */
   size_t job_count() const { return this->jobs.size(); }
 
--- a/src/agatepass/jobs/job_recovery.cpp
+++ b/src/agatepass/jobs/job_recovery.cpp
@@ -190,6 +190,14 @@
   return oldest;
 }
 
+std::vector<base::WorkerId> JobKeeper::WorkersInUse() const {
+  std::vector<base::WorkerId> used;
+  for (const auto& [worker, tasks] : this->on_worker) {
+    if (!tasks.empty()) used.push_back(worker);
+  }
+  return used;
+}
+
 void JobKeeper::SetWorkers(const base::DataCentreId& data_centre,
                            std::span<const base::WorkerId> workers,
                            base::Instant now, base::WallTime wall,
--- a/src/agatepass/node/entry_host.h
+++ b/src/agatepass/node/entry_host.h
@@ -131,6 +131,13 @@
     platform::Resources total;
   };
 
+  /** A peer that has asked for proofs. */
+  struct ProofSeeker {
+    base::Instant since;
+    /** The number of its latest query, to be sent back. */
+    std::string query;
+  };
+
   // entry_host.cpp
   void TakeJobEffects(jobs::Effects& from, base::Instant now,
                       base::WallTime wall, Effects& effects);
@@ -169,6 +176,7 @@
   void AdoptOrphans(std::span<const jobs::Incarnation> journals,
                     base::Instant now, jobs::Effects& job_effects);
   void AskForProofs(base::Instant now, base::WallTime wall, Effects& effects);
+  bool NeedsProofs() const;
   void SendProofs(const membership::WorkerReported& report, Effects& effects);
   jobs::InventoryKind ClaimKind(base::Duration memory_age,
                                 base::WallTime wall) const;
@@ -244,8 +252,10 @@
    */
   std::map<base::TaskId, base::HostId> reported_by;
   /** Peers that wait for proofs, and since when. */
-  std::map<base::HostId, base::Instant> proof_seekers;
-  base::Instant proofs_asked;
+  std::map<base::HostId, ProofSeeker> proof_seekers;
+  /** When the latest queries for proofs were sent, by their numbers. */
+  std::map<uint64_t, base::Instant> proof_queries;
+  uint64_t next_proof_query_number = 1;
   base::Instant next_proof_query;
   base::Instant next_journal_list;
   base::Instant next_foreign_report;
--- a/src/agatepass/node/entry_host_peers.cpp
+++ b/src/agatepass/node/entry_host_peers.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr base::Duration kJournalListPeriod = std::chrono::seconds(3);
+constexpr size_t kProofQueriesKept = 16;
+constexpr size_t kProofWords = 3;
 constexpr base::Duration kClockMargin = std::chrono::seconds(5);
 constexpr base::Duration kEvenSplitWait = std::chrono::seconds(30);
 constexpr base::Duration kProofQueryPeriod = std::chrono::seconds(1);
@@ -100,7 +102,7 @@
     this->keeper.ListJournals(now, job_effects);
   }
   this->TakeJobEffects(job_effects, now, wall, effects);
-  if (this->keeper.awaits_proofs() && now >= this->next_proof_query) {
+  if (now >= this->next_proof_query && this->NeedsProofs()) {
     this->AskForProofs(now, wall, effects);
   }
   this->AskForRoom(now, effects);
@@ -149,15 +151,32 @@
   }
 }
 
+// Adopted tasks need proofs of all workers; a task on a worker that another
+// host holds by now needs that host's word.
+bool EntryHost::NeedsProofs() const {
+  if (this->keeper.awaits_proofs()) return true;
+  const std::vector<WorkerId> used = this->keeper.WorkersInUse();
+  return std::any_of(used.begin(), used.end(), [this](const WorkerId& worker) {
+    return !this->ownership.epoch(worker);
+  });
+}
+
 void EntryHost::AskForProofs(Instant now, WallTime wall, Effects& effects) {
   this->next_proof_query = now + kProofQueryPeriod;
-  this->proofs_asked = now;
-  for (const auto& [worker, total] : std::map(this->held)) {
-    membership::OwnershipEffects claim = this->ownership.Reclaim(worker, now);
-    this->TakeOwnershipEffects(claim, now, wall, effects);
+  if (this->keeper.awaits_proofs()) {
+    for (const auto& [worker, total] : std::map(this->held)) {
+      membership::OwnershipEffects claim = this->ownership.Reclaim(worker, now);
+      this->TakeOwnershipEffects(claim, now, wall, effects);
+    }
   }
+  const uint64_t number = this->next_proof_query_number++;
+  this->proof_queries[number] = now;
+  if (this->proof_queries.size() > kProofQueriesKept) {
+    this->proof_queries.erase(this->proof_queries.begin());
+  }
+  const peers::TaskQuery query{base::JobId(std::to_string(number))};
   for (const HostId& peer : this->liveness.LocalPeers()) {
-    effects.peer_sends.push_back({peer, peers::TaskQuery{}});
+    effects.peer_sends.push_back({peer, query});
   }
 }
 
@@ -172,8 +191,9 @@
                             effects);
   } else if (this->TakeConfigMessage(envelope, now, effects)) {
     return;
-  } else if (std::holds_alternative<peers::TaskQuery>(envelope.message)) {
-    this->proof_seekers[envelope.sender] = now;
+  } else if (const auto* query =
+                 std::get_if<peers::TaskQuery>(&envelope.message)) {
+    this->proof_seekers[envelope.sender] = {now, query->job.value};
     this->ownership.RenewSoon(base::Duration(0), now);
   } else if (const auto* answer =
                  std::get_if<peers::TaskAnswer>(&envelope.message)) {
@@ -198,18 +218,22 @@
 void EntryHost::SendProofs(const membership::WorkerReported& report,
                            Effects& effects) {
   if (this->proof_seekers.empty()) return;
-  peers::TaskAnswer answer;
-  // The first row has no task: it names the worker that is covered, and tells
-  // in milliseconds how long the worker remembers.
-  platform::TaskReport covered;
-  covered.result = std::to_string(base::ToMilliseconds(report.memory_age));
-  answer.reports.push_back({report.worker, std::move(covered)});
-  for (const platform::TaskReport& task : report.tasks) {
-    answer.reports.push_back({report.worker, task});
-  }
-  for (const auto& [seeker, since] : this->proof_seekers) {
-    if (report.asked < since) continue;
-    effects.peer_sends.push_back({seeker, answer});
+  const platform::Epoch epoch =
+      this->ownership.epoch(report.worker).value_or(0);
+  for (const auto& [peer, seeker] : this->proof_seekers) {
+    if (report.asked < seeker.since) continue;
+    peers::TaskAnswer answer;
+    // The first row has no task: it names the worker that is covered, and says
+    // how long it remembers in milliseconds, its epoch and the query answered.
+    platform::TaskReport covered;
+    covered.result =
+        fmt::format("{} {} {}", base::ToMilliseconds(report.memory_age), epoch,
+                    seeker.query);
+    answer.reports.push_back({report.worker, std::move(covered)});
+    for (const platform::TaskReport& task : report.tasks) {
+      answer.reports.push_back({report.worker, task});
+    }
+    effects.peer_sends.push_back({peer, std::move(answer)});
   }
 }
 
@@ -229,9 +253,15 @@
                           WallTime wall, Effects& effects) {
   if (answer.reports.empty()) return;
   const WorkerId& worker = answer.reports.front().worker;
+  const auto words = base::SplitList(answer.reports.front().report.result, ' ');
+  if (words.size() != kProofWords) return;
   const base::Duration memory_age = std::chrono::milliseconds(
-      base::ParseNumber<int64_t>(answer.reports.front().report.result)
-          .value_or(0));
+      base::ParseNumber<int64_t>(words[0]).value_or(0));
+  const auto epoch = base::ParseNumber<platform::Epoch>(words[1]).value_or(0);
+  const auto asked = this->proof_queries.find(
+      base::ParseNumber<uint64_t>(words[2]).value_or(0));
+  // An answer to a query that is forgotten proves nothing.
+  if (asked == this->proof_queries.end() || epoch == 0) return;
   std::vector<platform::TaskReport> tasks;
   for (const peers::LocatedReport& row : answer.reports) {
     if (!row.report.task.empty()) tasks.push_back(row.report);
@@ -239,7 +269,8 @@
   jobs::Effects job_effects;
   this->keeper.OnInventory({.worker = worker,
                             .kind = this->ClaimKind(memory_age, wall),
-                            .asked = this->proofs_asked,
+                            .epoch = epoch,
+                            .asked = asked->second,
                             .tasks = tasks},
                            now, wall, job_effects);
   this->TakeJobEffects(job_effects, now, wall, effects);
