--- a/bench/relay_main.cpp
+++ b/bench/relay_main.cpp
@@ -22,7 +22,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const base::ServiceId service_id("quoter");
+const base::ServiceId kServiceId("quoter");
 constexpr base::Duration kPatience = seconds(2);
 
 /** Fake upstreams on a thread and loop of their own. */
@@ -50,7 +50,7 @@
       platform::HostRecord host;
       host.name = fmt::format("u{}", hosts.size());
       host.role = platform::HostRole::kUpstream;
-      host.service = service_id;
+      host.service = kServiceId;
       host.endpoint = fake->endpoint();
       hosts.push_back(host);
     }
@@ -78,7 +78,7 @@
 relay::RelayRequest MakeRequest(base::Instant deadline, uint64_t number) {
   relay::RelayRequest request;
   request.id = base::RequestId(fmt::format("r{}", number));
-  request.service = service_id;
+  request.service = kServiceId;
   request.deadline = deadline;
   request.http = {.method = base::HttpMethod::kPost,
                   .path = "/quote",
@@ -159,7 +159,7 @@
           params);
   }
   relay::Relay relay(loop, {.idle_connections = idle});
-  const relay::ServiceRule rule{.service = service_id};
+  const relay::ServiceRule rule{.service = kServiceId};
   relay.SetServices({&rule, 1});
   relay.SetUpstreams(hosts);
   size_t failed = 0;
@@ -191,7 +191,7 @@
   const Upstreams upstreams(4, milliseconds(40));
   base::EventLoop loop;
   relay::Relay relay(loop, {});
-  const relay::ServiceRule rule{.service = service_id};
+  const relay::ServiceRule rule{.service = kServiceId};
   relay.SetServices({&rule, 1});
   relay.SetUpstreams(upstreams.Records());
   std::vector<base::Duration> urgent;
@@ -253,7 +253,7 @@
   Upstreams upstreams(4, milliseconds(5));
   base::EventLoop loop;
   relay::Relay relay(loop, {});
-  const relay::ServiceRule rule{.service = service_id};
+  const relay::ServiceRule rule{.service = kServiceId};
   relay.SetServices({&rule, 1});
   relay.SetUpstreams(upstreams.Records());
   base::Instant silent_at = loop.Now() + seconds(1);
@@ -286,14 +286,14 @@
 void MeasureRetries() {
   base::EventLoop loop;
   relay::Relay relay(loop, {});
-  const relay::ServiceRule rule{.service = service_id};
+  const relay::ServiceRule rule{.service = kServiceId};
   relay.SetServices({&rule, 1});
   std::vector<platform::HostRecord> hosts;
   for (uint16_t i = 1; i <= 4; ++i) {
     platform::HostRecord host;
     host.name = fmt::format("u{}", i);
     host.role = platform::HostRole::kUpstream;
-    host.service = service_id;
+    host.service = kServiceId;
     host.endpoint = {"127.0.0.1", i};
     hosts.push_back(host);
   }
--- a/tests/faults/matrix_test.cpp
+++ b/tests/faults/matrix_test.cpp
@@ -194,7 +194,7 @@
     Seeds, FaultPair,
     ::testing::Range(ReadVariable("AGATEPASS_FAULT_FROM", 1),
                      ReadVariable("AGATEPASS_FAULT_FROM", 1) +
-                         ReadVariable("AGATEPASS_FAULT_SEEDS", 300)),
+                         ReadVariable("AGATEPASS_FAULT_SEEDS", 2000)),
     [](const auto& info) { return "seed" + std::to_string(info.param); });
 
 }  // namespace
