Divide the upstreams' slots among the entry hosts of a data centre

Cause: each entry host used the whole 8 slots and 64 connections of an upstream, so that three hosts together could use three times as many.

Change: node/upstream_shares divides them by the host list: shares add up to the limits for all that see the same list, shrink at once and grow after 15 s. The share leases of the relay slice, which also hold across different views, are not wired yet. Upstreams of other data centres get no share, so no request goes there.

Conclusion: the limits hold while the lists agree; wiring the leases is next.

--- a/src/agatepass/node/host_task.cpp
+++ b/src/agatepass/node/host_task.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+// Longer than the longest run of a request and the lag of the host list.
+constexpr base::Duration kShareGrowthDelay = std::chrono::seconds(15);
 constexpr base::Duration kTickPeriod = std::chrono::milliseconds(20);
 
 EntryHostOptions MakeOptions(const settings::HostSettings& settings) {
@@ -70,6 +72,7 @@
       driver(this->entry_host, this->store, this->workers, this->clock,
              [this](Effects& effects) { this->TakeEffects(effects); }),
       request_task(loop, MakeRelaySettings(settings)),
+      shares(settings.host, settings.data_centre, kShareGrowthDelay),
       network(loop, MakeNetworkOptions(
                         settings, this->entry_host.job_keeper().incarnation())),
       events(settings.host, {}) {}
@@ -160,6 +163,7 @@
   this->has_hosts = true;
   this->workers.SetHosts(this->list);
   this->request_task.SetUpstreams(this->list);
+  this->ShareUpstreams();
   std::vector<peers::PeerAddress> peers;
   for (const platform::HostRecord& host : this->list) {
     const bool is_peer = host.role == platform::HostRole::kEntryHost &&
@@ -172,6 +176,12 @@
   });
 }
 
+void HostTask::ShareUpstreams() {
+  if (!this->has_hosts || this->service_rules.empty()) return;
+  this->request_task.SetShares(
+      this->shares.Divide(this->list, this->service_rules, this->clock.Now()));
+}
+
 void HostTask::TakeEffects(Effects& effects) {
   const WallTime wall = this->clock.Wall();
   for (const NodeEvent& event : effects.events) {
@@ -182,8 +192,9 @@
     this->network.Send(send.to, std::move(send.message));
   }
   if (effects.applied) {
-    this->request_task.SetServices(
-        MakeServiceRules(*effects.applied->configuration));
+    this->service_rules = MakeServiceRules(*effects.applied->configuration);
+    this->request_task.SetServices(this->service_rules);
+    this->ShareUpstreams();
     if (this->on_applied) this->on_applied(*effects.applied);
   }
   for (const config::PutAnswer& answer : effects.puts) {
--- a/src/agatepass/node/host_task.h
+++ b/src/agatepass/node/host_task.h
@@ -17,6 +17,7 @@
 #include "agatepass/jobs/effects.h"
 #include "agatepass/node/driver.h"
 #include "agatepass/node/entry_host.h"
+#include "agatepass/node/upstream_shares.h"
 #include "agatepass/peers/peer_network.h"
 #include "agatepass/platform/host_list_client.h"
 #include "agatepass/platform/store_client.h"
@@ -99,6 +100,7 @@
 
   void ReadHostList();
   void TakeHostList(const platform::HostListReply& reply);
+  void ShareUpstreams();
   void TakeEffects(Effects& effects);
   void CheckDrained();
 
@@ -111,6 +113,8 @@
   EntryHost entry_host;
   HostDriver driver;
   relay::Relay request_task;
+  UpstreamShares shares;
+  std::vector<relay::ServiceRule> service_rules;
   peers::PeerNetwork network;
   timeline::Recorder events;
   std::vector<platform::HostRecord> list;
