--- a/src/agatepass/placement/tests/invariants_test.cpp
+++ b/src/agatepass/placement/tests/invariants_test.cpp
@@ -11,7 +11,7 @@
 
 // The same histories in each run, unless RC_PARAMS in the environment says
 // otherwise.
-const int fixed_seed = setenv("RC_PARAMS", "seed=1 max_success=300", 0);
+const int kFixedSeed = setenv("RC_PARAMS", "seed=1 max_success=300", 0);
 
 rc::Gen<std::vector<Step>> AnySteps() {
   return rc::gen::scale(
--- a/src/agatepass/relay/tests/dispatcher_test.cpp
+++ b/src/agatepass/relay/tests/dispatcher_test.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const base::ServiceId service_id("notice-desk");
+const base::ServiceId kServiceId("notice-desk");
 
 platform::HostRecord MakeUpstream(const std::string& name, uint16_t port) {
   platform::HostRecord host;
@@ -20,14 +20,14 @@
   host.role = platform::HostRole::kUpstream;
   host.endpoint = {"127.0.0.1", port};
   host.data_centre = base::DataCentreId("uus-a");
-  host.service = service_id;
+  host.service = kServiceId;
   return host;
 }
 
 class DispatcherTest : public ::testing::Test {
  protected:
   DispatcherTest() {
-    ServiceRule rule{.service = service_id, .slots = 2, .queue_length = 4};
+    ServiceRule rule{.service = kServiceId, .slots = 2, .queue_length = 4};
     this->dispatcher.SetServices({&rule, 1}, this->now);
     this->hosts = {MakeUpstream("u1", 1), MakeUpstream("u2", 2)};
     this->dispatcher.SetUpstreams(this->hosts, this->now);
@@ -37,7 +37,7 @@
       RequestNumber number,
       RequestClass request_class = RequestClass::kInteractive,
       bool idempotent = false, base::Duration time = seconds(5)) {
-    return this->dispatcher.Submit({number, service_id, request_class, "",
+    return this->dispatcher.Submit({number, kServiceId, request_class, "",
                                     idempotent, this->now + time, 10},
                                    this->now);
   }
@@ -126,7 +126,7 @@
 }
 
 TEST_F(DispatcherTest, NoticeOfLeavingOutlivesTheLaggingHostList) {
-  this->dispatcher.OnLeavingNotice(service_id, base::UpstreamId("u1"));
+  this->dispatcher.OnLeavingNotice(kServiceId, base::UpstreamId("u1"));
   this->dispatcher.SetUpstreams(this->hosts, this->now);
   for (RequestNumber i = 1; i <= 2; ++i) {
     EXPECT_EQ(std::get<SendCommand>(this->Submit(i)[0]).upstream.value, "u2");
@@ -165,7 +165,7 @@
   this->hosts[1].label = "counter";
   this->dispatcher.SetUpstreams(this->hosts, this->now);
   const std::vector<Command> commands =
-      this->dispatcher.Submit({1, service_id, RequestClass::kBulk, "estate",
+      this->dispatcher.Submit({1, kServiceId, RequestClass::kBulk, "estate",
                                false, this->now + seconds(5), 10},
                               this->now);
   EXPECT_EQ(std::get<SendCommand>(commands[0]).upstream.value, "u1");
--- a/src/agatepass/relay/tests/share_test.cpp
+++ b/src/agatepass/relay/tests/share_test.cpp
@@ -16,11 +16,11 @@
 using std::chrono::seconds;
 
 // The same cases in each run, unless RC_PARAMS says otherwise.
-const int fixed_seed = setenv("RC_PARAMS", "seed=2026", 0);
+const int kFixedSeed = setenv("RC_PARAMS", "seed=2026", 0);
 
 constexpr int kSlots = 8;
 constexpr size_t kHosts = 4;
-const base::UpstreamId upstream_id("u1");
+const base::UpstreamId kUpstreamId("u1");
 
 base::HostId Host(size_t i) { return base::HostId("e" + std::to_string(i)); }
 
@@ -59,7 +59,7 @@
   int Limits() const {
     int sum = 0;
     for (const Model& host : this->hosts)
-      sum += host.holder.SlotsOf(upstream_id, kSlots, this->now);
+      sum += host.holder.SlotsOf(kUpstreamId, kSlots, this->now);
     return sum;
   }
 
@@ -106,9 +106,9 @@
     }
     this->MeetPeers(i);
     const int used = static_cast<int>(host.ends.size());
-    host.holder.OnInFlight(used <= host.holder.TargetOf(upstream_id, kSlots),
+    host.holder.OnInFlight(used <= host.holder.TargetOf(kUpstreamId, kSlots),
                            this->now);
-    const int limit = host.holder.SlotsOf(upstream_id, kSlots, this->now);
+    const int limit = host.holder.SlotsOf(kUpstreamId, kSlots, this->now);
     while (static_cast<int>(host.ends.size()) < limit) {
       host.ends.push_back(this->now + milliseconds(this->random() % 10'000));
     }
@@ -173,10 +173,10 @@
   holder.OnView(view, now);
   holder.OnContact(1, now);
   holder.OnInFlight(true, now);
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now), 0);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now), 0);
   holder.OnReport({Host(1), 1, 0}, now);
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now), 4);
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now + seconds(3)), 1);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now), 4);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now + seconds(3)), 1);
 }
 
 TEST(Shares, HostThatCameAndWentAgainNeedsAHandOver) {
@@ -186,17 +186,17 @@
   holder.OnView(first, now);
   holder.OnReport({Host(0), 5, 5}, now);
   holder.OnContact(5, now);
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now), 7);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now), 7);
   // Host 1 joined with view 6, which this host has missed, and left with 7.
   holder.OnView({7, {Host(0)}, {{Host(1), 7}, {Host(2), 7}}}, now);
   holder.OnInFlight(true, now);
   holder.OnView({8, {Host(0)}, {{Host(1), 7}}}, now);
   holder.OnInFlight(true, now);
   holder.OnContact(8, now);
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now), 1);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now), 1);
   holder.OnTick(now + seconds(14));
   holder.OnContact(8, now + seconds(14));
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now + seconds(14)), 7);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now + seconds(14)), 7);
 }
 
 TEST(Shares, MemberThatSkippedAViewDoesNotSettleIt) {
@@ -207,7 +207,7 @@
   holder.OnContact(6, now);
   holder.OnReport({Host(0), 7, 0}, now);
   holder.OnTick(now + seconds(14));
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now + seconds(14)), 0);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now + seconds(14)), 0);
 }
 
 TEST(Shares, AfterAMissedViewOneSlotIsUsedUntilTheNextIsSettled) {
@@ -219,10 +219,10 @@
   // It departed with view 2 and was taken in again with view 3.
   holder.OnView({3, {Host(0), Host(1)}, {}}, now);
   holder.OnContact(3, now);
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now), 1);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now), 1);
   holder.OnInFlight(true, now);
   holder.OnReport({Host(1), 3, 0}, now);
-  EXPECT_EQ(holder.SlotsOf(upstream_id, kSlots, now), 4);
+  EXPECT_EQ(holder.SlotsOf(kUpstreamId, kSlots, now), 4);
 }
 
 TEST(Shares, MinorityCannotTakeOver) {
