--- /dev/null
+++ b/src/agatepass/pool/admission.cpp
@@ -0,0 +1,37 @@
+#include "agatepass/pool/admission.h"
+
+#include <algorithm>
+
+namespace agatepass::pool {
+
+namespace {
+
+/** Run times exceed their estimates by about this factor at the busy end. */
+constexpr double kChainMargin = 1.3;
+
+/** Part of the slack that waiting may take. */
+constexpr double kWaitingShare = 0.8;
+
+}  // namespace
+
+std::optional<base::Duration> RetryAfterOverload(const PoolLoad& load,
+                                                 const Job& job,
+                                                 const Queue& queue) {
+  // Without workers nothing is known; the job waits for the first ones.
+  if (load.usable_millicores <= 0) return std::nullopt;
+  const double chain = base::ToSeconds(LongestChain(job));
+  const double objective = queue.stretch * chain + base::ToSeconds(queue.slack);
+  double advice = 0;
+  if (queue.advice) advice = base::ToSeconds(queue.advice->decide);
+  const double slack = std::max(0.0, objective - kChainMargin * chain - advice);
+  const double work = load.work_before + load.work_beside + EstimatedWork(job);
+  const double wait = work / load.usable_millicores;
+  if (wait <= kWaitingShare * slack) return std::nullopt;
+  // A job that would not fit even into an idle pool is taken when it is idle.
+  if (load.work_before + load.work_beside <= 0) return std::nullopt;
+  const double late = wait - kWaitingShare * slack;
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(std::max(1.0, late)));
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/advice_desk.cpp
@@ -0,0 +1,78 @@
+#include "agatepass/pool/advice_desk.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace agatepass::pool {
+
+namespace {
+
+/** One host in so many is kept free of long queries, at least one. */
+constexpr size_t kHostsForOneShort = 4;
+
+}  // namespace
+
+void AdviceDesk::OnHost(const base::HostId& host,
+                        const base::Endpoint& endpoint, base::Instant now) {
+  Host& entry = this->hosts[host];
+  entry.endpoint = endpoint;
+  entry.seen = now;
+}
+
+void AdviceDesk::Add(AdviceQuery query) {
+  const auto rank = [](const AdviceQuery& entry) {
+    return std::make_tuple(entry.priority, entry.cost > kLongQuery);
+  };
+  const auto place = std::find_if(
+      this->queries.begin(), this->queries.end(),
+      [&](const AdviceQuery& other) { return rank(query) < rank(other); });
+  this->queries.insert(place, std::move(query));
+}
+
+bool AdviceDesk::MayTakeLong(base::Instant now) const {
+  size_t usable = 0;
+  size_t busy_with_long = 0;
+  for (const auto& [id, host] : this->hosts) {
+    if (now > host.seen + kHostLife || now < host.resting_until) continue;
+    ++usable;
+    if (host.busy_with_long) ++busy_with_long;
+  }
+  if (usable <= 1) return true;
+  const size_t kept = std::max<size_t>(1, usable / kHostsForOneShort);
+  return busy_with_long + kept < usable;
+}
+
+std::optional<AdviceErrand> AdviceDesk::Next(base::Instant now) {
+  const auto host =
+      std::find_if(this->hosts.begin(), this->hosts.end(), [&](auto& entry) {
+        const Host& candidate = entry.second;
+        return !candidate.busy && now <= candidate.seen + kHostLife &&
+               now >= candidate.resting_until;
+      });
+  if (host == this->hosts.end()) return std::nullopt;
+  const bool long_allowed = this->MayTakeLong(now);
+  const auto query =
+      std::find_if(this->queries.begin(), this->queries.end(),
+                   [&](const AdviceQuery& entry) {
+                     return long_allowed || entry.cost <= kLongQuery;
+                   });
+  if (query == this->queries.end()) return std::nullopt;
+  host->second.busy = true;
+  host->second.busy_with_long = query->cost > kLongQuery;
+  AdviceErrand errand{host->first, host->second.endpoint, std::move(*query)};
+  this->queries.erase(query);
+  return errand;
+}
+
+void AdviceDesk::OnDone(const base::HostId& id, bool answered,
+                        base::Instant now) {
+  const auto host = this->hosts.find(id);
+  if (host == this->hosts.end()) return;
+  host->second.busy = false;
+  host->second.busy_with_long = false;
+  if (!answered) host->second.resting_until = now + kRest;
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/election.h
@@ -0,0 +1,134 @@
+/** \file
+ * Who plans the pool: the holder of a leased key in the store. It has no clock
+ * and no socket.
+ */
+#ifndef AGATEPASS_POOL_ELECTION_H_
+#define AGATEPASS_POOL_ELECTION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "agatepass/base/http_message.h"
+#include "agatepass/base/identifier.h"
+#include "agatepass/base/time.h"
+#include "agatepass/platform/store.h"
+#include "agatepass/pool/messages.h"
+
+namespace agatepass::pool {
+
+/** The planner's entry in the store. */
+struct PlannerEntry {
+  base::HostId host;
+  /** Where its peers reach it. */
+  base::Endpoint endpoint;
+  /** Tells two processes on one host apart. */
+  std::string incarnation;
+
+  bool operator==(const PlannerEntry&) const = default;
+};
+
+/** Renders the entry as the store keeps it. */
+std::string EncodePlannerEntry(const PlannerEntry& entry);
+
+/** Reads an entry; nothing if it is malformed. */
+std::optional<PlannerEntry> DecodePlannerEntry(std::string_view text);
+
+/** What the election asks of the store. */
+enum class ElectionStep : uint8_t {
+  kNothing,
+  /** Grant a lease of `lease_time`. */
+  kGrantLease,
+  /** Create the planner's key under the lease, if it does not exist. */
+  kCreateKey,
+  /** Read the planner's key, to see whether an unanswered create was done. */
+  kReadKey,
+  kRenewLease,
+  /** End the lease; the key goes with it. */
+  kEndLease,
+};
+
+/** Times of the election. */
+struct ElectionOptions {
+  PlannerEntry self;
+  base::Duration lease_time = std::chrono::milliseconds(2000);
+  base::Duration renew_period = std::chrono::milliseconds(500);
+  /** Wait of this host before it stands, so that not all stand at once. */
+  base::Duration stand_delay = std::chrono::milliseconds(0);
+  /** Wait after a step that failed. */
+  base::Duration retry = std::chrono::milliseconds(300);
+};
+
+/** One host's view of the election.
+ *
+ * \code
+ * Election election(options);
+ * election.OnPlannerSeen(std::nullopt, now);
+ * switch (election.Next(now)) { case ElectionStep::kGrantLease: ... }
+ * \endcode
+ */
+class Election {
+ public:
+  explicit Election(ElectionOptions options) : options(std::move(options)) {}
+
+  /** The store was seen to hold this planner, or none.
+   * \param revision revision at which the key was created; 0 for none. */
+  void OnPlannerSeen(std::optional<PlannerEntry> planner,
+                     platform::Revision revision, base::Instant now);
+
+  /** Returns the step to take now; each one is returned once until its answer
+   * has come. */
+  ElectionStep Next(base::Instant now);
+
+  void OnLeaseGranted(platform::Outcome outcome, uint64_t lease,
+                      base::Instant now);
+  void OnKeyCreated(platform::Outcome outcome, platform::Revision revision,
+                    base::Instant now);
+  /** \param planner what the key holds, nothing if it does not exist. */
+  void OnKeyRead(platform::Outcome outcome, std::optional<PlannerEntry> planner,
+                 platform::Revision revision, base::Instant now);
+  void OnLeaseRenewed(platform::Outcome outcome, base::Instant now);
+  void OnLeaseEnded();
+
+  /** Leaves office; the lease is ended as the next step. */
+  void Resign();
+
+  /** Does not stand any more, as the process stops. */
+  void Withdraw() { this->withdrawn = true; }
+
+  /** Whether this host holds the office. */
+  bool in_office() const { return this->fence != 0; }
+
+  /** Fence of the present term; 0 out of office. */
+  Fence term() const { return this->fence; }
+
+  uint64_t lease_id() const { return this->lease; }
+
+  /** The planner as last seen, possibly this host. */
+  const std::optional<PlannerEntry>& planner() const { return this->seen; }
+
+  const PlannerEntry& self() const { return this->options.self; }
+  base::Duration lease_time() const { return this->options.lease_time; }
+
+ private:
+  void TakeOffice(platform::Revision revision, base::Instant now);
+
+  ElectionOptions options;
+  std::optional<PlannerEntry> seen;
+  platform::Revision seen_revision = 0;
+  /** Since when no planner is seen. */
+  std::optional<base::Instant> vacant_since;
+  bool waiting = false;
+  bool withdrawn = false;
+  bool create_unknown = false;
+  bool ending = false;
+  Fence fence = 0;
+  uint64_t lease = 0;
+  base::Instant next_step;
+  base::Instant next_renewal;
+};
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_ELECTION_H_
--- /dev/null
+++ b/src/agatepass/pool/job.cpp
@@ -0,0 +1,69 @@
+#include "agatepass/pool/job.h"
+
+#include <algorithm>
+
+#include "fmt/format.h"
+
+namespace agatepass::pool {
+
+namespace {
+
+/** Tasks in one job beyond which it is rejected as malformed. */
+constexpr uint64_t kMostTasks = 20'000;
+
+}  // namespace
+
+std::string ToString(const TaskName& name) {
+  return fmt::format("{}.{}.{}.{}", name.job.value, name.occurrence, name.step,
+                     name.index);
+}
+
+base::Duration LongestChain(const Job& job) {
+  std::vector<base::Duration> ends;
+  ends.reserve(job.steps.size());
+  base::Duration longest{0};
+  for (const Step& step : job.steps) {
+    base::Duration begin{0};
+    for (const uint32_t earlier : step.after) {
+      if (earlier < ends.size()) begin = std::max(begin, ends[earlier]);
+    }
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+double EstimatedWork(const Job& job) {
+  double work = 0;
+  for (const Step& step : job.steps) {
+    work += static_cast<double>(step.count) *
+            static_cast<double>(step.need.millicores) *
+            base::ToSeconds(step.estimate);
+  }
+  return work;
+}
+
+std::string FindFlaw(const Job& job) {
+  if (job.steps.empty()) return "the job has no steps";
+  uint64_t tasks = 0;
+  for (size_t i = 0; i < job.steps.size(); ++i) {
+    const Step& step = job.steps[i];
+    tasks += step.count;
+    if (step.count == 0) return fmt::format("step {} has no tasks", i);
+    if (!step.need.IsValid()) {
+      return fmt::format("step {} asks for less than nothing", i);
+    }
+    for (const uint32_t earlier : step.after) {
+      if (earlier >= i) {
+        return fmt::format("step {} waits for step {}, which is not before it",
+                           i, earlier);
+      }
+    }
+  }
+  if (tasks > kMostTasks) {
+    return fmt::format("{} tasks are more than {}", tasks, kMostTasks);
+  }
+  return "";
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/peer_call.cpp
@@ -0,0 +1,178 @@
+#include "agatepass/pool/peer_call.h"
+
+#include <array>
+#include <utility>
+
+#include "agatepass/base/text.h"
+#include "agatepass/pool/record_codec.h"
+#include "fmt/format.h"
+#include "nlohmann/json.hpp"
+
+namespace agatepass::pool {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kHttpOk = 200;
+
+// In the order of PeerVerb.
+constexpr std::array<std::string_view, 6> kPaths = {
+    "/pool/submit",  "/pool/describe", "/pool/cancel",
+    "/pool/pending", "/pool/advise",   "/pool/hello"};
+
+std::string_view FindParameter(const base::HttpRequest& request,
+                               std::string_view name) {
+  return base::FindHeader(request.query, name);
+}
+
+Json EncodeQuery(const AdviceQuery& query) {
+  Json workers = Json::array();
+  for (const base::WorkerId& worker : query.workers) {
+    workers.push_back(worker.value);
+  }
+  return {{"job", query.job.value},
+          {"occurrence", query.occurrence},
+          {"step", query.step},
+          {"cost_us", query.cost.count()},
+          {"workers", std::move(workers)}};
+}
+
+AdviceQuery DecodeQuery(const Json& in) {
+  AdviceQuery query{.job = base::JobId(in.at("job").get<std::string>()),
+                    .occurrence = in.at("occurrence").get<uint32_t>(),
+                    .step = in.at("step").get<uint32_t>(),
+                    .cost = base::Duration(in.at("cost_us").get<int64_t>())};
+  for (const Json& worker : in.at("workers")) {
+    query.workers.emplace_back(worker.get<std::string>());
+  }
+  return query;
+}
+
+}  // namespace
+
+base::HttpRequest EncodePeerCall(const PeerCall& call) {
+  base::HttpRequest request{
+      .method = base::HttpMethod::kPost,
+      .path = std::string(kPaths[static_cast<size_t>(call.verb)])};
+  switch (call.verb) {
+    case PeerVerb::kSubmit:
+      request.query.push_back({"version", fmt::format("{}", call.version)});
+      request.body = EncodeJob(call.submission);
+      break;
+    case PeerVerb::kDescribe:
+    case PeerVerb::kCancel:
+      request.query.push_back({"job", call.job.value});
+      break;
+    case PeerVerb::kCountPending:
+      request.query.push_back({"queue", call.queue});
+      break;
+    case PeerVerb::kAdvise:
+      request.body = EncodeQuery(call.query).dump();
+      break;
+    case PeerVerb::kHello:
+      request.query.push_back({"host", call.host.value});
+      request.query.push_back({"endpoint", call.endpoint.ToString()});
+      break;
+  }
+  return request;
+}
+
+std::optional<PeerCall> DecodePeerCall(const base::HttpRequest& request) {
+  size_t verb = 0;
+  while (verb < kPaths.size() && kPaths[verb] != request.path) ++verb;
+  if (verb == kPaths.size()) return std::nullopt;
+  PeerCall call{.verb = static_cast<PeerVerb>(verb)};
+  call.job = base::JobId(FindParameter(request, "job"));
+  call.queue = FindParameter(request, "queue");
+  call.host = base::HostId(FindParameter(request, "host"));
+  switch (call.verb) {
+    case PeerVerb::kSubmit: {
+      absl::StatusOr<Job> job = DecodeJob(request.body);
+      if (!job.ok()) return std::nullopt;
+      call.submission = *std::move(job);
+      call.version =
+          base::ParseNumber<uint64_t>(FindParameter(request, "version"))
+              .value_or(0);
+      break;
+    }
+    case PeerVerb::kAdvise: {
+      try {
+        call.query = DecodeQuery(Json::parse(request.body));
+      } catch (const Json::exception&) {
+        return std::nullopt;
+      }
+      break;
+    }
+    case PeerVerb::kHello: {
+      const auto endpoint =
+          base::ParseEndpoint(FindParameter(request, "endpoint"));
+      if (!endpoint || call.host.empty()) return std::nullopt;
+      call.endpoint = *endpoint;
+      break;
+    }
+    default:
+      break;
+  }
+  return call;
+}
+
+base::HttpAnswer EncodeCallerAnswer(const CallerAnswer& answer) {
+  const Json body = {{"code", static_cast<int>(answer.code)},
+                     {"phase", static_cast<int>(answer.phase)},
+                     {"pending", answer.pending},
+                     {"retry_us", answer.retry_after.count()},
+                     {"detail", answer.detail}};
+  return {.status = kHttpOk,
+          .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+std::optional<CallerAnswer> DecodeCallerAnswer(const base::HttpAnswer& answer) {
+  if (answer.status != kHttpOk) return std::nullopt;
+  try {
+    const Json in = Json::parse(answer.body);
+    CallerAnswer result;
+    result.code = static_cast<base::ResultCode>(in.at("code").get<int>());
+    const int phase = in.at("phase").get<int>();
+    if (phase < 0 || phase > static_cast<int>(JobPhase::kCancelled)) {
+      return std::nullopt;
+    }
+    result.phase = static_cast<JobPhase>(phase);
+    result.pending = in.at("pending").get<uint64_t>();
+    result.retry_after = base::Duration(in.at("retry_us").get<int64_t>());
+    result.detail = in.at("detail").get<std::string>();
+    return result;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+base::HttpAnswer EncodeAdviceReply(const AdviceReply& reply) {
+  Json body = {{"answered", reply.answered},
+               {"valid_us", reply.valid.count()},
+               {"good", Json::array()}};
+  for (const AdviceTicket& ticket : reply.good) {
+    body["good"].push_back({ticket.worker.value, ticket.ticket});
+  }
+  return {.status = kHttpOk,
+          .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+AdviceReply DecodeAdviceReply(const base::HttpAnswer& answer) {
+  if (answer.status != kHttpOk) return {};
+  try {
+    const Json in = Json::parse(answer.body);
+    AdviceReply reply;
+    reply.answered = in.at("answered").get<bool>();
+    reply.valid = base::Duration(in.at("valid_us").get<int64_t>());
+    for (const Json& row : in.at("good")) {
+      reply.good.push_back({base::WorkerId(row.at(0).get<std::string>()),
+                            row.at(1).get<std::string>()});
+    }
+    return reply;
+  } catch (const Json::exception&) {
+    return {};
+  }
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/peer_call.h
@@ -0,0 +1,68 @@
+/** \file
+ * Calls between the hosts of a cell: callers' calls passed on to the planner,
+ * and queries that the planner has other hosts ask. They travel over HTTP, as
+ * its client tells a call that never left from one that may have arrived.
+ */
+#ifndef AGATEPASS_POOL_PEER_CALL_H_
+#define AGATEPASS_POOL_PEER_CALL_H_
+
+#include <optional>
+#include <string>
+
+#include "agatepass/base/http_message.h"
+#include "agatepass/base/identifier.h"
+#include "agatepass/pool/job.h"
+#include "agatepass/pool/messages.h"
+
+namespace agatepass::pool {
+
+enum class PeerVerb : uint8_t {
+  kSubmit,
+  kDescribe,
+  kCancel,
+  kCountPending,
+  /** Ask the advice service on the planner's behalf. */
+  kAdvise,
+  /** A host tells the planner that it can ask for advice. */
+  kHello,
+};
+
+/** One call. */
+struct PeerCall {
+  PeerVerb verb = PeerVerb::kDescribe;
+  /** kDescribe, kCancel. */
+  base::JobId job;
+  /** kCountPending. */
+  std::string queue;
+  /** kSubmit. */
+  Job submission;
+  /** kSubmit: version of the configuration that the host goes by. */
+  uint64_t version = 0;
+  /** kAdvise. */
+  AdviceQuery query;
+  /** kHello. */
+  base::HostId host;
+  base::Endpoint endpoint;
+};
+
+/** Renders a call. */
+base::HttpRequest EncodePeerCall(const PeerCall& call);
+
+/** Reads a call; nothing if it is malformed. */
+std::optional<PeerCall> DecodePeerCall(const base::HttpRequest& request);
+
+/** Renders the planner's answer to a caller's call. */
+base::HttpAnswer EncodeCallerAnswer(const CallerAnswer& answer);
+
+/** Reads the planner's answer; nothing if it is malformed. */
+std::optional<CallerAnswer> DecodeCallerAnswer(const base::HttpAnswer& answer);
+
+/** Renders a host's answer to kAdvise. */
+base::HttpAnswer EncodeAdviceReply(const AdviceReply& reply);
+
+/** Reads a host's answer to kAdvise; not answered if it is malformed. */
+AdviceReply DecodeAdviceReply(const base::HttpAnswer& answer);
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_PEER_CALL_H_
--- /dev/null
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -0,0 +1,247 @@
+// Calls of callers: accept, reject, cancel, describe.
+#include <algorithm>
+#include <utility>
+
+#include "agatepass/pool/admission.h"
+#include "agatepass/pool/pool_planner.h"
+
+namespace agatepass::pool {
+
+namespace {
+
+/** When a caller may come back after the store did not take a job. */
+constexpr base::Duration kStoreRetryAfter = std::chrono::seconds(1);
+
+/** Sum of the run times of all steps' tasks that wait, in millicore-seconds. */
+double WaitingWork(const JobState& job) {
+  double work = 0;
+  for (const auto& step : job.steps) {
+    work += static_cast<double>(step->waiting) *
+            static_cast<double>(step->definition->need.millicores) *
+            base::ToSeconds(step->definition->estimate);
+  }
+  return work;
+}
+
+}  // namespace
+
+void PoolPlanner::Answer(CallId call, base::ResultCode code,
+                         std::string detail) {
+  this->effects.push_back(
+      CallerAnswer{.call = call, .code = code, .detail = std::move(detail)});
+}
+
+void PoolPlanner::Reject(CallId call, const Job& job, base::ResultCode code,
+                         base::Duration retry_after, std::string reason,
+                         const PlannerTime& time) {
+  ++this->totals.rejected;
+  this->log.Add(time.now, "job rejected",
+                "job={} queue={} code={} retry_after_ms={} reason=\"{}\"",
+                job.id.value, job.queue, static_cast<int>(code),
+                base::ToMilliseconds(retry_after), reason);
+  this->effects.push_back(CallerAnswer{.call = call,
+                                       .code = code,
+                                       .retry_after = retry_after,
+                                       .detail = std::move(reason)});
+}
+
+void PoolPlanner::Submit(CallId call, Job job, const PlannerTime& time) {
+  if (const auto known = this->jobs.find(job.id); known != this->jobs.end()) {
+    if (known->second->stored) {
+      this->Answer(call, base::ResultCode::kAccepted);
+    } else {
+      known->second->waiting_submits.push_back(call);
+    }
+    return;
+  }
+  const Queue* queue = this->queues.Find(job.queue);
+  if (queue == nullptr) {
+    this->Reject(call, job, base::ResultCode::kNotFound, base::Duration(0),
+                 "no such queue", time);
+    return;
+  }
+  if (std::string flaw = FindFlaw(job); !flaw.empty()) {
+    this->Reject(call, job, base::ResultCode::kInvalidRequest,
+                 base::Duration(0), std::move(flaw), time);
+    return;
+  }
+  if (this->retiring || time.now < this->store_failed_until) {
+    this->Reject(call, job, base::ResultCode::kStoreUnreachable,
+                 kStoreRetryAfter, "the store does not take writes now", time);
+    return;
+  }
+  if (!this->FitsAnyWorker(job, queue->service)) {
+    this->Reject(call, job, base::ResultCode::kCanNeverRun,
+                 base::Duration(std::chrono::seconds(30)),
+                 "a task is larger than every worker", time);
+    return;
+  }
+  if (const auto wait = this->Overload(job, *queue, time.now)) {
+    this->Reject(call, job, base::ResultCode::kOverloaded, *wait,
+                 "it would end too late behind the work accepted before it",
+                 time);
+    return;
+  }
+  job.accepted_ms = time.wall_ms;
+  JobState& state = this->AddJob(std::move(job), time);
+  state.waiting_submits.push_back(call);
+  this->unwritten.insert(state.job.id);
+  this->decide = true;
+}
+
+std::optional<base::Duration> PoolPlanner::Overload(const Job& job,
+                                                    const Queue& queue,
+                                                    base::Instant now) {
+  PoolLoad load;
+  for (const auto& [id, worker] : this->workers) {
+    if (!worker->listed || worker->record.draining) continue;
+    if (worker->record.service != queue.service) continue;
+    if (now < worker->shunned_until) continue;
+    load.usable_millicores +=
+        static_cast<double>(worker->record.total.millicores) *
+        this->options.usable_share;
+  }
+  for (const auto& [id, other] : this->open) {
+    if (other->service != queue.service) continue;
+    const double work = WaitingWork(*other);
+    // Work past three times its objective only fills gaps.
+    if (now > other->objective + 2 * (other->objective - other->accepted_at)) {
+      continue;
+    }
+    if (other->priority < queue.priority) {
+      load.work_before += work;
+    } else if (other->priority == queue.priority) {
+      load.work_beside += work;
+    }
+  }
+  return RetryAfterOverload(load, job, queue);
+}
+
+bool PoolPlanner::FitsAnyWorker(const Job& job,
+                                const base::ServiceId& service) const {
+  bool any = false;
+  for (const Step& step : job.steps) {
+    bool fits = false;
+    for (const auto& [id, worker] : this->workers) {
+      if (!worker->listed || worker->record.service != service) continue;
+      any = true;
+      if (step.need.FitsIn(worker->record.total)) fits = true;
+    }
+    if (any && !fits) return false;
+  }
+  return true;
+}
+
+void PoolPlanner::ApplyQueue(JobState& job) {
+  const Queue* queue = this->queues.Find(job.job.queue);
+  if (queue == nullptr) return;
+  job.priority = queue->priority;
+  job.attempts = queue->attempts;
+  job.service = queue->service;
+  job.advice_valid.reset();
+  if (queue->advice) job.advice_valid = queue->advice->valid;
+  job.objective = job.accepted_at + queue->slack +
+                  std::chrono::duration_cast<base::Duration>(
+                      LongestChain(job.job) * queue->stretch);
+}
+
+JobState& PoolPlanner::AddJob(Job job, const PlannerTime& time) {
+  auto state = std::make_unique<JobState>();
+  state->job = std::move(job);
+  state->accepted_at = time.now;
+  if (state->job.accepted_ms > 0 && state->job.accepted_ms < time.wall_ms) {
+    state->accepted_at -=
+        std::chrono::milliseconds(time.wall_ms - state->job.accepted_ms);
+  }
+  this->ApplyQueue(*state);
+  const uint32_t times = std::max(1U, state->job.occurrences);
+  for (uint32_t occurrence = 0; occurrence < times; ++occurrence) {
+    for (uint32_t number = 0; number < state->job.steps.size(); ++number) {
+      auto step = std::make_unique<StepState>();
+      step->job = state.get();
+      step->definition = &state->job.steps[number];
+      step->occurrence = occurrence;
+      step->number = number;
+      step->tasks.resize(step->definition->count);
+      step->waiting = step->definition->count;
+      state->steps.push_back(std::move(step));
+    }
+  }
+  JobState& added = *state;
+  this->open[added.job.id] = &added;
+  this->jobs[added.job.id] = std::move(state);
+  return added;
+}
+
+void PoolPlanner::RejectUnstored(JobState& job, const PlannerTime& time) {
+  const std::vector<CallId> calls = std::move(job.waiting_submits);
+  for (const CallId call : calls) {
+    this->Reject(call, job.job, base::ResultCode::kStoreUnreachable,
+                 kStoreRetryAfter, "the store did not take the job", time);
+  }
+  for (const CallId call : job.waiting_cancels) {
+    this->Answer(call, base::ResultCode::kNotFound);
+  }
+  for (const auto& step : job.steps) this->ReleaseReservation(*step);
+  if (this->hold && this->hold->step->job == &job) this->hold.reset();
+  this->open.erase(job.job.id);
+  this->unwritten.erase(job.job.id);
+  this->jobs.erase(base::JobId(job.job.id));
+}
+
+void PoolPlanner::Cancel(CallId call, const base::JobId& id,
+                         const PlannerTime& time) {
+  const auto found = this->jobs.find(id);
+  if (found == this->jobs.end()) {
+    this->effects.push_back(StoreCheck{.call = call, .job = id});
+    return;
+  }
+  JobState& job = *found->second;
+  if (job.IsOpen()) {
+    this->FinishJob(job, JobPhase::kCancelled, time);
+  }
+  if (IsFinal(job.stored_phase)) {
+    this->Answer(call, base::ResultCode::kOk);
+    return;
+  }
+  job.waiting_cancels.push_back(call);
+}
+
+void PoolPlanner::Describe(CallId call, const base::JobId& id,
+                           const PlannerTime& /*time*/) {
+  const auto found = this->jobs.find(id);
+  if (found == this->jobs.end() || !found->second->stored) {
+    this->effects.push_back(StoreCheck{.call = call, .job = id});
+    return;
+  }
+  const JobState& job = *found->second;
+  // A final phase is told only once a successor would know it too.
+  JobPhase shown = job.phase;
+  if (IsFinal(shown) && !IsFinal(job.stored_phase)) shown = JobPhase::kRunning;
+  this->effects.push_back(CallerAnswer{
+      .call = call, .code = base::ResultCode::kOk, .phase = shown});
+}
+
+void PoolPlanner::CountPending(CallId call, const std::string& queue) {
+  uint64_t pending = 0;
+  for (const auto& [id, job] : this->open) {
+    if (job->job.queue == queue && job->stored &&
+        job->phase == JobPhase::kQueued) {
+      ++pending;
+    }
+  }
+  this->effects.push_back(CallerAnswer{
+      .call = call, .code = base::ResultCode::kOk, .pending = pending});
+}
+
+void PoolPlanner::OnStoreCheck(CallId call, std::optional<bool> exists) {
+  if (exists && !*exists) {
+    this->Answer(call, base::ResultCode::kNotFound, "no such job");
+    return;
+  }
+  this->Answer(
+      call, base::ResultCode::kOutcomeUnknown,
+      exists ? "the job is not loaded here yet" : "the store did not answer");
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -0,0 +1,293 @@
+// Writes to the store: jobs, progress, the note of the workers in use.
+#include <algorithm>
+#include <utility>
+
+#include "agatepass/pool/pool_planner.h"
+#include "fmt/format.h"
+
+namespace agatepass::pool {
+
+namespace {
+
+/** How often jobs past their time are looked for. */
+constexpr base::Duration kRemovalPeriod = std::chrono::seconds(1);
+
+/** Jobs removed at a time, so that removals stay behind other writes. */
+constexpr size_t kMostRemovals = 15;
+
+/** A job may be created, which is a condition and a write, and progress. */
+constexpr size_t kMostEntriesPerJob = 3;
+
+/** Appends `index` to the ranges, or lengthens the last one. */
+void AddSucceeded(std::vector<SucceededRange>& ranges, const StepState& step,
+                  uint32_t index) {
+  if (!ranges.empty()) {
+    SucceededRange& last = ranges.back();
+    if (last.occurrence == step.occurrence && last.step == step.number &&
+        last.last + 1 == index) {
+      last.last = index;
+      return;
+    }
+  }
+  ranges.push_back({step.occurrence, step.number, index, index});
+}
+
+}  // namespace
+
+void PoolPlanner::MarkChanged(JobState& job) {
+  ++job.changes;
+  this->unwritten.insert(job.job.id);
+}
+
+JobProgress PoolPlanner::ProgressOf(const JobState& job) const {
+  JobProgress progress;
+  progress.phase = job.phase;
+  progress.final_ms = job.final_ms;
+  // Of a final job nothing is ever started again.
+  if (!job.IsOpen()) return progress;
+  for (const auto& step : job.steps) {
+    for (uint32_t i = 0; i < step->tasks.size(); ++i) {
+      const TaskState& task = step->tasks[i];
+      if (task.succeeded) {
+        AddSucceeded(progress.succeeded, *step, i);
+        continue;
+      }
+      const uint32_t failures =
+          step->definition->gang ? step->gang_failures : task.failures;
+      if (task.last_run == 0 && failures == 0) continue;
+      progress.tasks.push_back({step->occurrence, step->number, i,
+                                task.last_run, failures, task.saved});
+    }
+  }
+  return progress;
+}
+
+void PoolPlanner::SendCommits(const PlannerTime& time) {
+  while (this->commits.size() < this->options.most_commits_in_flight &&
+         time.now >= this->next_commit) {
+    StoreCommit commit;
+    SentCommit sent;
+    if (!this->FillCommit(commit, sent)) return;
+    commit.id = this->next_commit_id++;
+    this->commits.emplace(commit.id, std::move(sent));
+    ++this->totals.commits;
+    this->next_commit = time.now + this->options.commit_gap;
+    this->effects.push_back(std::move(commit));
+  }
+}
+
+bool PoolPlanner::FillCommit(StoreCommit& commit, SentCommit& sent) {
+  this->AddWorkersNote(commit, sent);
+  std::vector<base::JobId> taken;
+  for (const base::JobId& id : this->unwritten) {
+    if (commit.Entries() + kMostEntriesPerJob >
+        this->options.entries_per_commit) {
+      break;
+    }
+    if (this->being_written.contains(id)) continue;
+    const auto found = this->jobs.find(id);
+    if (found != this->jobs.end()) {
+      this->AddJobWrites(*found->second, commit, sent);
+    }
+    taken.push_back(id);
+  }
+  for (const base::JobId& id : taken) this->unwritten.erase(id);
+  return !commit.writes.empty();
+}
+
+void PoolPlanner::AddWorkersNote(StoreCommit& commit, SentCommit& sent) {
+  if (this->noting_workers) return;
+  bool missing = false;
+  for (const auto& [id, worker] : this->workers) {
+    if (worker->listed && !worker->noted) missing = true;
+  }
+  if (!missing) return;
+  std::string note;
+  for (const auto& [id, worker] : this->workers) {
+    sent.workers.push_back(id);
+    note += id.value;
+    note += '\n';
+  }
+  // Workers of earlier terms stay noted until their leases must have lapsed.
+  for (const base::WorkerId& id : this->unread) {
+    if (!this->workers.contains(id)) note += id.value + '\n';
+  }
+  this->noting_workers = true;
+  commit.writes.push_back({.key = kWorkersKey, .value = std::move(note)});
+}
+
+void PoolPlanner::AddJobWrites(JobState& job, StoreCommit& commit,
+                               SentCommit& sent) {
+  const base::JobId& id = job.job.id;
+  const size_t before = commit.writes.size();
+  if (!job.stored) {
+    commit.writes.push_back(
+        {.key = JobKey(id), .value = EncodeJob(job.job), .create = true});
+    sent.created.push_back(id);
+  }
+  if (job.changes > job.stored_changes) {
+    commit.writes.push_back({.key = ProgressKey(id),
+                             .value = EncodeProgress(this->ProgressOf(job))});
+    sent.progressed.emplace_back(id, job.changes);
+  }
+  if (commit.writes.size() > before) this->being_written.insert(id);
+}
+
+void PoolPlanner::OnCommit(uint64_t commit, const CommitReply& reply,
+                           const PlannerTime& time) {
+  const auto found = this->commits.find(commit);
+  if (found == this->commits.end()) return;
+  const SentCommit sent = std::move(found->second);
+  this->commits.erase(found);
+  for (const base::JobId& id : sent.created) this->being_written.erase(id);
+  for (const auto& [id, changes] : sent.progressed) {
+    this->being_written.erase(id);
+  }
+  if (!sent.workers.empty()) this->noting_workers = false;
+  if (reply.lost_office) {
+    this->LeaveOffice("another planner's key stands in the store");
+    return;
+  }
+  if (reply.outcome == platform::Outcome::kDone) {
+    this->FinishCommit(sent, time);
+    return;
+  }
+  if (reply.outcome == platform::Outcome::kRefused) {
+    // Keys that exist were created by an earlier commit without an answer.
+    for (const std::string& key : reply.existing) {
+      const base::JobId id(
+          std::string_view(key).substr(std::string_view(kJobPrefix).size()));
+      const auto job = this->jobs.find(id);
+      if (job != this->jobs.end()) this->MarkCreated(*job->second, time);
+    }
+  }
+  this->RetryCommit(sent, reply.outcome, time);
+}
+
+void PoolPlanner::MarkCreated(JobState& job, const PlannerTime& time) {
+  if (std::exchange(job.stored, true)) return;
+  ++this->totals.accepted;
+  this->decide = true;
+  this->log.Add(time.now, "job accepted",
+                "job={} queue={} priority={} steps={} objective_ms={}",
+                job.job.id.value, job.job.queue, job.priority,
+                job.job.steps.size(),
+                base::ToMilliseconds(job.objective - job.accepted_at));
+  for (const CallId call : std::exchange(job.waiting_submits, {})) {
+    this->Answer(call, base::ResultCode::kAccepted);
+  }
+}
+
+void PoolPlanner::FinishCommit(const SentCommit& sent,
+                               const PlannerTime& time) {
+  this->store_failed_until = {};
+  for (const base::JobId& id : sent.created) {
+    const auto job = this->jobs.find(id);
+    if (job != this->jobs.end()) this->MarkCreated(*job->second, time);
+  }
+  for (const auto& [id, changes] : sent.progressed) {
+    const auto found = this->jobs.find(id);
+    if (found == this->jobs.end()) continue;
+    JobState& job = *found->second;
+    job.stored_changes = std::max(job.stored_changes, changes);
+    if (job.stored_changes == job.changes) {
+      job.stored_phase = job.phase;
+    }
+    if (job.changes > job.stored_changes) this->unwritten.insert(id);
+    if (!IsFinal(job.stored_phase)) continue;
+    for (const CallId call : std::exchange(job.waiting_cancels, {})) {
+      this->Answer(call, base::ResultCode::kOk);
+    }
+  }
+  for (const base::WorkerId& id : sent.workers) {
+    const auto worker = this->workers.find(id);
+    if (worker != this->workers.end()) worker->second->noted = true;
+  }
+  this->decide = true;
+  for (auto& [id, worker] : this->workers) {
+    if (!worker->unstored.empty()) this->ReleaseStoredEnds(*worker, time);
+  }
+}
+
+void PoolPlanner::RetryCommit(const SentCommit& sent, platform::Outcome outcome,
+                              const PlannerTime& time) {
+  if (outcome != platform::Outcome::kRefused) {
+    this->next_commit = time.now + this->options.commit_retry;
+    this->store_failed_until = time.now + 2 * this->options.commit_retry;
+    this->log.Add(time.now, "commit not taken",
+                  "outcome=\"{}\" jobs={} progress={}",
+                  platform::OutcomeName(outcome), sent.created.size(),
+                  sent.progressed.size());
+  }
+  for (const auto& [id, changes] : sent.progressed) {
+    if (this->jobs.contains(id)) this->unwritten.insert(id);
+  }
+  for (const base::JobId& id : sent.created) {
+    const auto found = this->jobs.find(id);
+    if (found == this->jobs.end() || found->second->stored) continue;
+    JobState& job = *found->second;
+    if (outcome == platform::Outcome::kUnknown) job.may_be_stored = true;
+    if (outcome == platform::Outcome::kNotSent && !job.may_be_stored) {
+      this->RejectUnstored(job, time);
+      continue;
+    }
+    this->unwritten.insert(id);
+  }
+}
+
+void PoolPlanner::ReleaseStoredEnds(WorkerState& worker,
+                                    const PlannerTime& time) {
+  const uint64_t before = worker.stored_ends;
+  while (!worker.unstored.empty()) {
+    const UnstoredEnd& end = worker.unstored.front();
+    const auto job = this->jobs.find(end.job);
+    if (job != this->jobs.end() && job->second->stored_changes < end.changes) {
+      break;
+    }
+    worker.stored_ends = end.number;
+    worker.unstored.pop_front();
+  }
+  if (worker.stored_ends > before && worker.unstored.empty()) {
+    worker.next_review = time.now;
+  }
+}
+
+void PoolPlanner::RemoveExpired(const PlannerTime& time) {
+  if (time.now < this->next_removal) return;
+  this->next_removal = time.now + kRemovalPeriod;
+  if (time.now < this->store_failed_until) return;
+  StoreCommit commit;
+  SentCommit sent;
+  for (auto entry = this->jobs.begin(); entry != this->jobs.end();) {
+    JobState& job = *entry->second;
+    const bool keep = job.IsOpen() || !job.stored ||
+                      job.stored_changes < job.changes ||
+                      this->being_written.contains(entry->first) ||
+                      time.now < job.final_at + this->options.keep_final;
+    if (keep || sent.removed.size() >= kMostRemovals) {
+      ++entry;
+      continue;
+    }
+    bool running = false;
+    for (const auto& step : job.steps) {
+      for (const TaskState& task : step->tasks) {
+        if (task.active != nullptr) running = true;
+      }
+    }
+    if (running) {
+      ++entry;
+      continue;
+    }
+    commit.writes.push_back({.key = JobKey(entry->first)});
+    commit.writes.push_back({.key = ProgressKey(entry->first)});
+    sent.removed.push_back(entry->first);
+    this->unwritten.erase(entry->first);
+    entry = this->jobs.erase(entry);
+  }
+  if (commit.writes.empty()) return;
+  commit.id = this->next_commit_id++;
+  this->commits.emplace(commit.id, std::move(sent));
+  this->effects.push_back(std::move(commit));
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/planner_decide.cpp
@@ -0,0 +1,407 @@
+// Which waiting tasks start where, in which order.
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+#include "agatepass/pool/pool_planner.h"
+
+namespace agatepass::pool {
+
+namespace {
+
+/** A job is worth something up to this many times its objective. */
+constexpr int kWorthTimes = 3;
+
+/** Room that is kept for one gang at most this long. */
+constexpr base::Duration kLongestHold = std::chrono::seconds(4);
+
+/** How work is ranked at a moment, most pressing first. */
+enum class Urgency : uint8_t {
+  kUrgent,
+  kInTime,
+  kLate,
+  kWorthless,
+};
+
+/** Returns the estimated time from the beginning of a step to the job's end. */
+base::Duration RemainingChain(const StepState& step) {
+  base::Duration remaining{0};
+  const auto& steps = step.job->job.steps;
+  std::vector<bool> follows(steps.size(), false);
+  follows[step.number] = true;
+  remaining = steps[step.number].estimate;
+  std::vector<base::Duration> ends(steps.size(), base::Duration(0));
+  ends[step.number] = remaining;
+  for (size_t i = step.number + 1; i < steps.size(); ++i) {
+    for (const uint32_t earlier : steps[i].after) {
+      if (!follows[earlier]) continue;
+      follows[i] = true;
+      ends[i] = std::max(ends[i], ends[earlier] + steps[i].estimate);
+    }
+    remaining = std::max(remaining, ends[i]);
+  }
+  return remaining;
+}
+
+Urgency UrgencyOf(const StepState& step, base::Instant now) {
+  const JobState& job = *step.job;
+  if (step.definition->long_running) return Urgency::kUrgent;
+  const base::Duration objective = job.objective - job.accepted_at;
+  if (now > job.accepted_at + kWorthTimes * objective) {
+    return Urgency::kWorthless;
+  }
+  if (now > job.objective) return Urgency::kLate;
+  return job.priority == 0 ? Urgency::kUrgent : Urgency::kInTime;
+}
+
+uint32_t RunsOnWorker(const StepState& step, const WorkerState& worker) {
+  uint32_t count = 0;
+  for (const RunState* run : worker.runs) {
+    if (run->step == &step) ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+void PoolPlanner::Decide(const PlannerTime& time) {
+  if (this->hold && time.now >= this->hold->until) this->hold.reset();
+  for (StepState* step : this->ReadySteps(time)) {
+    if (!step->reserved.empty() && time.now >= step->reserved_until) {
+      this->ReleaseReservation(*step);
+    }
+    this->PlaceStep(*step, time);
+  }
+}
+
+bool PoolPlanner::IsReady(const StepState& step,
+                          const PlannerTime& time) const {
+  if (step.waiting == 0) return false;
+  const JobState& job = *step.job;
+  if (job.job.occurrences > 0) {
+    const int64_t due =
+        job.job.first_due_ms +
+        static_cast<int64_t>(step.occurrence) * job.job.interval_ms -
+        base::ToMilliseconds(this->options.early_start);
+    if (time.wall_ms < due) return false;
+  }
+  const size_t first = step.occurrence * job.job.steps.size();
+  return std::all_of(
+      step.definition->after.begin(), step.definition->after.end(),
+      [&](uint32_t earlier) { return job.steps[first + earlier]->IsDone(); });
+}
+
+std::vector<StepState*> PoolPlanner::ReadySteps(const PlannerTime& time) {
+  std::vector<std::tuple<Urgency, base::Instant, StepState*>> ready;
+  for (const auto& [id, job] : this->open) {
+    for (const auto& step : job->steps) {
+      if (!this->IsReady(*step, time)) continue;
+      ready.emplace_back(UrgencyOf(*step, time.now),
+                         job->objective - RemainingChain(*step), step.get());
+    }
+  }
+  std::stable_sort(ready.begin(), ready.end(),
+                   [](const auto& left, const auto& right) {
+                     return std::tie(std::get<0>(left), std::get<1>(left)) <
+                            std::tie(std::get<0>(right), std::get<1>(right));
+                   });
+  std::vector<StepState*> steps;
+  steps.reserve(ready.size());
+  for (const auto& entry : ready) steps.push_back(std::get<2>(entry));
+  return steps;
+}
+
+void PoolPlanner::PlaceStep(StepState& step, const PlannerTime& time) {
+  if (this->NeedsAdvice(step) && !step.advice.known) {
+    this->AskFirstAdvice(step, time);
+    return;
+  }
+  if (!step.job->stored) return;
+  if (step.job->inherited && !this->MayStartInherited(time.now)) return;
+  if (step.advice.in_flight && !step.reserved.empty()) return;
+  const bool gang = step.definition->gang;
+  if (gang && step.waiting < step.tasks.size()) return;
+  std::vector<Candidate> candidates = this->FindCandidates(step, time);
+  if (gang) {
+    this->PlaceGang(step, std::move(candidates), time);
+  } else if (!candidates.empty()) {
+    this->PlaceTasks(step, std::move(candidates), time);
+  }
+}
+
+bool PoolPlanner::IsUsable(const WorkerState& worker, const StepState& step,
+                           const PlannerTime& time) const {
+  if (!worker.listed || worker.record.draining) return false;
+  if (!worker.reviewed || !worker.noted || !worker.clock_ms) return false;
+  if (worker.record.service != step.job->service) return false;
+  if (time.now < worker.shunned_until) return false;
+  const std::string& label = step.definition->required_label;
+  if (!label.empty() &&
+      std::find(worker.record.labels.begin(), worker.record.labels.end(),
+                label) == worker.record.labels.end()) {
+    return false;
+  }
+  if (this->hold && this->hold->step != &step && step.job->priority > 0 &&
+      this->hold->workers.contains(&worker) &&
+      time.now + step.definition->estimate > this->hold->until) {
+    return false;
+  }
+  return true;
+}
+
+uint32_t PoolPlanner::FitsOn(const WorkerState& worker,
+                             const StepState& step) const {
+  const Step& definition = *step.definition;
+  platform::Resources need = definition.need;
+  if (definition.uses_idle_processors) need.millicores = 0;
+  platform::Resources room = worker.Room();
+  uint32_t most = step.waiting;
+  if (definition.most_per_worker > 0) {
+    const uint32_t present = RunsOnWorker(step, worker);
+    if (present >= definition.most_per_worker) return 0;
+    most = std::min(most, definition.most_per_worker - present);
+  }
+  uint32_t fits = 0;
+  while (fits < most && need.FitsIn(room)) {
+    room -= need;
+    ++fits;
+  }
+  return fits;
+}
+
+std::vector<PoolPlanner::Candidate> PoolPlanner::FindCandidates(
+    StepState& step, const PlannerTime& time) {
+  std::vector<Candidate> candidates;
+  const bool advised = this->NeedsAdvice(step);
+  for (const auto& [id, worker] : this->workers) {
+    Candidate candidate{.worker = worker.get()};
+    if (advised) {
+      const auto ticket = step.advice.good.find(id);
+      if (ticket == step.advice.good.end()) continue;
+      candidate.ticket_valid = time.now < ticket->second.valid_until;
+    }
+    if (!this->IsUsable(*worker, step, time)) continue;
+    candidate.fits = this->FitsOn(*worker, step);
+    if (candidate.fits > 0) candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+void PoolPlanner::PlaceTasks(StepState& step, std::vector<Candidate> candidates,
+                             const PlannerTime& time) {
+  const int64_t need = step.definition->need.millicores;
+  // Tight fits first keep whole workers free for large shapes; data decides
+  // before that, as reading it from afar costs more than room.
+  const auto rank = [&](const Candidate& candidate) {
+    const bool far = !step.definition->data_rack.empty() &&
+                     candidate.worker->rack != step.definition->data_rack;
+    const int64_t left = candidate.worker->Room().millicores - need;
+    return std::make_tuple(far, !candidate.ticket_valid, left);
+  };
+  std::vector<std::pair<WorkerState*, uint32_t>> expired;
+  uint32_t planned = 0;
+  for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+    TaskState& task = step.tasks[i];
+    if (task.succeeded || task.active != nullptr) continue;
+    if (time.now < task.not_before) continue;
+    Candidate* best = nullptr;
+    for (Candidate& candidate : candidates) {
+      if (candidate.fits == 0) continue;
+      if (candidates.size() > 1 &&
+          candidate.worker->record.worker == task.failed_on) {
+        continue;
+      }
+      if (best == nullptr || rank(candidate) < rank(*best)) best = &candidate;
+    }
+    if (best == nullptr) break;
+    --best->fits;
+    if (best->ticket_valid) {
+      this->StartTask(step, i, task.last_run + 1, *best->worker, time);
+      continue;
+    }
+    ++planned;
+    if (!expired.empty() && expired.back().first == best->worker) {
+      ++expired.back().second;
+    } else {
+      expired.emplace_back(best->worker, 1);
+    }
+  }
+  if (planned > 0) this->ReserveAndAsk(step, expired, time);
+}
+
+void PoolPlanner::PlaceGang(StepState& step, std::vector<Candidate> candidates,
+                            const PlannerTime& time) {
+  RunNumber run = 0;
+  for (const TaskState& task : step.tasks) {
+    run = std::max(run, task.last_run);
+    if (time.now < task.not_before) return;
+  }
+  ++run;
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& left, const Candidate& right) {
+                     return left.fits > right.fits;
+                   });
+  if (step.definition->same_rack) {
+    std::map<base::RackId, uint32_t> room;
+    for (const Candidate& candidate : candidates) {
+      room[candidate.worker->rack] += candidate.fits;
+    }
+    for (const auto& [rack, fits] : room) {
+      if (fits < step.tasks.size()) continue;
+      std::erase_if(candidates, [&rack = rack](const Candidate& candidate) {
+        return candidate.worker->rack != rack;
+      });
+      break;
+    }
+  }
+  std::vector<std::pair<WorkerState*, uint32_t>> plan;
+  uint32_t left = static_cast<uint32_t>(step.tasks.size());
+  bool valid = true;
+  for (const Candidate& candidate : candidates) {
+    if (left == 0) break;
+    const uint32_t taken = std::min(left, candidate.fits);
+    plan.emplace_back(candidate.worker, taken);
+    valid = valid && candidate.ticket_valid;
+    left -= taken;
+  }
+  if (left > 0) {
+    if (!this->hold) this->HoldForGang(step, time);
+    return;
+  }
+  if (!valid) {
+    this->ReserveAndAsk(step, plan, time);
+    return;
+  }
+  if (this->hold && this->hold->step == &step) this->hold.reset();
+  std::string saved;
+  for (const TaskState& task : step.tasks) saved = std::max(saved, task.saved);
+  uint32_t index = 0;
+  for (const auto& [worker, count] : plan) {
+    for (uint32_t i = 0; i < count; ++i, ++index) {
+      step.tasks[index].saved = saved;
+      this->StartTask(step, index, run, *worker, time);
+    }
+  }
+}
+
+void PoolPlanner::StartTask(StepState& step, uint32_t index, RunNumber number,
+                            WorkerState& worker, const PlannerTime& time) {
+  JobState& job = *step.job;
+  const TaskName name{job.job.id, step.occurrence, step.number, index};
+  platform::Resources need = step.definition->need;
+  if (step.definition->uses_idle_processors) need.millicores = 0;
+  RunState& run = this->AddRun(name, number, worker, &step, need);
+  run.ordered_at = time.now;
+  run.percent_changed = time.now;
+  run.expected_end = time.now + step.definition->estimate;
+  const std::optional<int64_t> lease =
+      this->LeaseOnWorkerClock(worker, time.now);
+  worker.lapses_at = std::max(
+      worker.lapses_at, time.now + std::chrono::duration_cast<base::Duration>(
+                                       (this->options.worker_lease +
+                                        (time.now - worker.clock_at)) /
+                                       this->options.slowest_clock));
+  if (job.phase == JobPhase::kQueued) job.phase = JobPhase::kRunning;
+  ++this->totals.starts;
+  this->log.Add(time.now, "start ordered",
+                "task={} run={} worker={} waited_ms={} room_left={}",
+                ToString(name), number, worker.record.worker.value,
+                base::ToMilliseconds(time.now - job.accepted_at),
+                worker.Room().millicores);
+  this->effects.push_back(StartOrder{.worker = worker.record.worker,
+                                     .endpoint = worker.record.endpoint,
+                                     .task = name,
+                                     .run = number,
+                                     .fence = this->options.fence,
+                                     .payload = job.job.payload,
+                                     .saved = step.tasks[index].saved,
+                                     .ticket = this->TicketFor(step, worker),
+                                     .lease_until_ms = lease.value_or(0)});
+}
+
+void PoolPlanner::HoldForGang(StepState& step, const PlannerTime& time) {
+  if (UrgencyOf(step, time.now) > Urgency::kInTime) return;
+  // The instant at which enough of the running work should have ended.
+  struct Release {
+    base::Instant at;
+    WorkerState* worker = nullptr;
+    platform::Resources need;
+  };
+  std::vector<Release> releases;
+  std::map<WorkerState*, platform::Resources> room;
+  uint32_t fits = 0;
+  const auto count = [&step](const platform::Resources& available) {
+    platform::Resources left = available;
+    uint32_t number = 0;
+    while (number < step.tasks.size() && step.definition->need.FitsIn(left)) {
+      left -= step.definition->need;
+      ++number;
+    }
+    return number;
+  };
+  const bool advised = this->NeedsAdvice(step);
+  for (const auto& [id, worker] : this->workers) {
+    if (advised && !step.advice.good.contains(id)) continue;
+    if (!this->IsUsable(*worker, step, time)) continue;
+    room[worker.get()] = worker->Room();
+    fits += count(worker->Room());
+    for (const RunState* run : worker->runs) {
+      releases.push_back({run->expected_end, worker.get(), run->need});
+    }
+  }
+  std::sort(releases.begin(), releases.end(),
+            [](const Release& left, const Release& right) {
+              return left.at < right.at;
+            });
+  for (const Release& release : releases) {
+    platform::Resources& available = room[release.worker];
+    fits -= count(available);
+    available += release.need;
+    fits += count(available);
+    if (fits < step.tasks.size()) continue;
+    if (release.at > time.now + kLongestHold) return;
+    GangHold held{.step = &step,
+                  .until = std::max(release.at, time.now) +
+                           std::chrono::milliseconds(300)};
+    for (const auto& [worker, free] : room) {
+      if (count(free) > 0) held.workers.insert(worker);
+    }
+    this->log.Add(time.now, "room kept for a gang",
+                  "job={} step={} workers={} until_ms={}",
+                  step.job->job.id.value, step.number, held.workers.size(),
+                  base::ToMilliseconds(held.until - time.now));
+    this->hold = std::move(held);
+    return;
+  }
+}
+
+void PoolPlanner::ReserveAndAsk(
+    StepState& step, std::span<const std::pair<WorkerState*, uint32_t>> plan,
+    const PlannerTime& time) {
+  if (step.advice.in_flight || time.now < step.advice.retry_at) return;
+  this->ReleaseReservation(step);
+  std::vector<base::WorkerId> asked;
+  for (const auto& [worker, count] : plan) {
+    platform::Resources room;
+    for (uint32_t i = 0; i < count; ++i) room += step.definition->need;
+    worker->reserved += room;
+    step.reserved.push_back({worker, room});
+    if (std::find(asked.begin(), asked.end(), worker->record.worker) ==
+        asked.end()) {
+      asked.push_back(worker->record.worker);
+    }
+  }
+  step.reserved_until = time.now + this->options.reservation_time;
+  this->AskAdvice(step, std::move(asked), time);
+}
+
+void PoolPlanner::ReleaseReservation(StepState& step) {
+  for (const Reservation& reservation : step.reserved) {
+    reservation.worker->reserved -= reservation.room;
+  }
+  if (!step.reserved.empty()) this->decide = true;
+  step.reserved.clear();
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/planner_options.h
@@ -0,0 +1,66 @@
+/** \file
+ * Times and limits of the planner of a pool.
+ */
+#ifndef AGATEPASS_POOL_PLANNER_OPTIONS_H_
+#define AGATEPASS_POOL_PLANNER_OPTIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "agatepass/base/time.h"
+#include "agatepass/pool/messages.h"
+
+namespace agatepass::pool {
+
+/** Settings of one term of office. */
+struct PlannerOptions {
+  Fence fence = 0;
+  /** Lease on all that a worker runs, renewed by each review. It has to outlast
+   * a takeover, and a lost worker's tasks wait for its end. */
+  base::Duration worker_lease = std::chrono::milliseconds(6500);
+  /** Longest lease that a worker grants. */
+  base::Duration longest_worker_lease = std::chrono::seconds(10);
+  /** How slow a worker's clock may be, as a share of ours. */
+  double slowest_clock = 0.98;
+  /** Time for which a review of a busy worker waits for an end. */
+  base::Duration review_wait = std::chrono::milliseconds(1000);
+  /** Same, of a worker that runs nothing. */
+  base::Duration idle_review_wait = std::chrono::milliseconds(2000);
+  /** Wait after a review that got no answer. */
+  base::Duration review_retry = std::chrono::milliseconds(400);
+  /** Wait before a stop without an answer is sent again. */
+  base::Duration stop_retry = std::chrono::milliseconds(400);
+  /** Least time between two commits: more of them would cost store calls. */
+  base::Duration commit_gap = std::chrono::milliseconds(20);
+  /** Wait after a commit that the store did not take. */
+  base::Duration commit_retry = std::chrono::milliseconds(250);
+  size_t most_commits_in_flight = 3;
+  /** Entries of one commit: the store takes 32, one is the condition that the
+   * planner is in office. */
+  size_t entries_per_commit = 31;
+  /** Time for which a final job can be asked for. */
+  base::Duration keep_final = std::chrono::seconds(125);
+  /** Wait after advice that was not given. */
+  base::Duration advice_retry = std::chrono::milliseconds(250);
+  /** Longest time that room is kept while tickets are renewed. */
+  base::Duration reservation_time = std::chrono::milliseconds(1800);
+  /** Age before its end at which a ticket is taken to have run out: the order
+   * has to arrive in time. */
+  base::Duration ticket_margin = std::chrono::milliseconds(200);
+  /** Most workers named in one query for advice. */
+  size_t workers_per_query = 100;
+  /** Time without new work for a worker that did not answer or was unwell. */
+  base::Duration shun_time = std::chrono::milliseconds(1500);
+  /** Failures in a row after which a worker gets no work for
+   * `failing_shun_time`. */
+  uint32_t failures_to_shun = 3;
+  base::Duration failing_shun_time = std::chrono::seconds(4);
+  /** Share of the processors that admission counts on. */
+  double usable_share = 0.85;
+  /** How early a timed occurrence may start. */
+  base::Duration early_start{0};
+};
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_PLANNER_OPTIONS_H_
--- /dev/null
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -0,0 +1,260 @@
+// Runs: from the order to the end, and what an end means for the job.
+#include <algorithm>
+#include <utility>
+
+#include "agatepass/pool/pool_planner.h"
+
+namespace agatepass::pool {
+
+namespace {
+
+/** Wait before a task is tried again after its worker would not start it. */
+constexpr base::Duration kRestartDelay = std::chrono::milliseconds(20);
+
+}  // namespace
+
+RunState& PoolPlanner::AddRun(const TaskName& task, RunNumber number,
+                              WorkerState& worker, StepState* step,
+                              const platform::Resources& need) {
+  auto run = std::make_unique<RunState>();
+  run->task = task;
+  run->run = number;
+  run->worker = &worker;
+  run->step = step;
+  run->need = need;
+  RunState& added = *run;
+  worker.runs.push_back(&added);
+  worker.used += need;
+  if (step != nullptr) {
+    TaskState& state = step->tasks[task.index];
+    state.active = &added;
+    state.last_run = std::max(state.last_run, number);
+    --step->waiting;
+  }
+  this->runs[{task, number}] = std::move(run);
+  return added;
+}
+
+RunState* PoolPlanner::FindRun(const TaskName& task, RunNumber number) {
+  const auto found = this->runs.find({task, number});
+  return found == this->runs.end() ? nullptr : found->second.get();
+}
+
+StepState* PoolPlanner::FindStep(const TaskName& task) {
+  const auto found = this->jobs.find(task.job);
+  if (found == this->jobs.end()) return nullptr;
+  JobState& job = *found->second;
+  const size_t position =
+      static_cast<size_t>(task.occurrence) * job.job.steps.size() + task.step;
+  if (task.step >= job.job.steps.size() || position >= job.steps.size()) {
+    return nullptr;
+  }
+  StepState* step = job.steps[position].get();
+  return task.index < step->tasks.size() ? step : nullptr;
+}
+
+void PoolPlanner::ReleaseRun(RunState& run) {
+  WorkerState& worker = *run.worker;
+  worker.used -= run.need;
+  std::erase(worker.runs, &run);
+  if (run.step != nullptr) {
+    TaskState& task = run.step->tasks[run.task.index];
+    if (task.active == &run) task.active = nullptr;
+    if (!task.succeeded) ++run.step->waiting;
+  }
+  const RunKey key(run.task, run.run);
+  this->stopping.erase(key);
+  this->runs.erase(key);
+  this->decide = true;
+}
+
+void PoolPlanner::RequestStop(RunState& run, base::Instant at) {
+  if (run.phase == RunPhase::kStopping) return;
+  run.phase = RunPhase::kStopping;
+  run.next_stop = at;
+  this->stopping.emplace(run.task, run.run);
+}
+
+void PoolPlanner::BreakGang(StepState& step, base::Instant now) {
+  for (const TaskState& task : step.tasks) {
+    if (task.active != nullptr) this->RequestStop(*task.active, now);
+  }
+}
+
+void PoolPlanner::HandleEnd(WorkerState& worker, const EndedRow& row,
+                            const PlannerTime& time) {
+  worker.handled_ends = row.number;
+  ++this->totals.ends;
+  RunState* run = this->FindRun(row.task, row.run);
+  if (run != nullptr && run->worker == &worker) {
+    this->log.Add(time.now, "run ended",
+                  "task={} run={} worker={} end=\"{}\" after_ms={}",
+                  ToString(row.task), row.run, worker.record.worker.value,
+                  RunEndName(row.end),
+                  base::ToMilliseconds(time.now - run->ordered_at));
+    this->ReleaseRun(*run);
+  }
+  StepState* step = this->FindStep(row.task);
+  UnstoredEnd unstored{.number = row.number, .job = row.task.job};
+  if (step != nullptr) {
+    JobState& job = *step->job;
+    TaskState& task = step->tasks[row.task.index];
+    task.last_run = std::max(task.last_run, row.run);
+    if (job.IsOpen() && !task.succeeded) {
+      if (!row.saved.empty()) task.saved = row.saved;
+      this->MarkChanged(job);
+      if (row.end == RunEnd::kSucceeded) {
+        worker.failures_in_row = 0;
+        this->HandleSuccess(*step, row.task.index, time);
+      } else if (row.end == RunEnd::kFailed) {
+        this->HandleFailure(worker, *step, row, time);
+      } else if (step->definition->gang) {
+        this->BreakGang(*step, time.now);
+      }
+    }
+    unstored.changes = job.changes;
+  }
+  worker.unstored.push_back(std::move(unstored));
+}
+
+void PoolPlanner::HandleSuccess(StepState& step, uint32_t index,
+                                const PlannerTime& time) {
+  JobState& job = *step.job;
+  if (step.definition->long_running) return;
+  for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+    // One member's success is that of the whole gang.
+    if (i != index && !step.definition->gang) continue;
+    TaskState& task = step.tasks[i];
+    if (task.succeeded) continue;
+    task.succeeded = true;
+    ++step.succeeded;
+    if (task.active == nullptr) --step.waiting;
+    if (task.active != nullptr && !step.definition->gang) {
+      this->RequestStop(*task.active, time.now);
+    }
+  }
+  if (!step.IsDone()) return;
+  this->ReleaseReservation(step);
+  const bool done =
+      std::all_of(job.steps.begin(), job.steps.end(),
+                  [](const auto& other) { return other->IsDone(); });
+  if (done) this->FinishJob(job, JobPhase::kSucceeded, time);
+}
+
+void PoolPlanner::HandleFailure(WorkerState& worker, StepState& step,
+                                const EndedRow& row, const PlannerTime& time) {
+  ++this->totals.failures;
+  TaskState& task = step.tasks[row.task.index];
+  task.failed_on = worker.record.worker;
+  uint32_t failures = 0;
+  if (step.definition->gang) {
+    if (row.run > step.failed_run) {
+      step.failed_run = row.run;
+      ++step.gang_failures;
+    }
+    failures = step.gang_failures;
+    this->BreakGang(step, time.now);
+  } else {
+    failures = ++task.failures;
+  }
+  if (++worker.failures_in_row >= this->options.failures_to_shun) {
+    worker.shunned_until = time.now + this->options.failing_shun_time;
+    worker.failures_in_row = 0;
+    this->log.Add(time.now, "worker fails what it starts", "worker={}",
+                  worker.record.worker.value);
+  }
+  if (step.definition->long_running) return;
+  if (failures >= step.job->attempts) {
+    this->FinishJob(*step.job, JobPhase::kFailed, time);
+  }
+}
+
+void PoolPlanner::RunDidNotStart(RunState& run, base::Instant not_before,
+                                 const PlannerTime& time) {
+  StepState* step = run.step;
+  const uint32_t index = run.task.index;
+  this->ReleaseRun(run);
+  if (step == nullptr || !step->job->IsOpen()) return;
+  step->tasks[index].not_before = not_before + kRestartDelay;
+  if (step->definition->gang) this->BreakGang(*step, time.now);
+}
+
+void PoolPlanner::FinishJob(JobState& job, JobPhase phase,
+                            const PlannerTime& time) {
+  job.phase = phase;
+  job.final_ms = time.wall_ms;
+  job.final_at = time.now;
+  this->open.erase(job.job.id);
+  this->MarkChanged(job);
+  this->log.Add(time.now, "job ended",
+                "job={} queue={} phase={} after_ms={} objective_ms={}",
+                job.job.id.value, job.job.queue, JobPhaseName(phase),
+                base::ToMilliseconds(time.now - job.accepted_at),
+                base::ToMilliseconds(job.objective - job.accepted_at));
+  if (this->hold && this->hold->step->job == &job) this->hold.reset();
+  for (const auto& step : job.steps) {
+    this->ReleaseReservation(*step);
+    if (phase == JobPhase::kSucceeded) continue;
+    for (const TaskState& task : step->tasks) {
+      if (task.active != nullptr) this->RequestStop(*task.active, time.now);
+    }
+  }
+}
+
+void PoolPlanner::OnStart(const TaskName& task, RunNumber number,
+                          const OrderReply& reply, const PlannerTime& time) {
+  if (reply.verdict == WorkerVerdict::kFenced) {
+    this->LeaveOffice("a worker has seen a higher fence");
+    return;
+  }
+  RunState* run = this->FindRun(task, number);
+  if (run == nullptr) return;
+  WorkerState& worker = *run->worker;
+  if (reply.worker_clock_ms) {
+    this->NoteClock(worker, *reply.worker_clock_ms, time.now);
+  }
+  if (reply.verdict == WorkerVerdict::kDone) {
+    if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
+    run->confirmed_at = time.now;
+    return;
+  }
+  if (run->phase == RunPhase::kRunning) return;
+  this->log.Add(time.now, "start not carried out",
+                "task={} run={} worker={} verdict=\"{}\" after_ms={}",
+                ToString(task), number, worker.record.worker.value,
+                WorkerVerdictName(reply.verdict),
+                base::ToMilliseconds(time.now - run->ordered_at));
+  if (reply.verdict == WorkerVerdict::kUnknown) {
+    ++this->totals.starts_in_doubt;
+    this->NoteSilence(worker, time);
+    // The stop makes the worker reject the start should it still come.
+    this->RequestStop(*run, time.now);
+    if (run->step != nullptr && run->step->definition->gang) {
+      this->BreakGang(*run->step, time.now);
+    }
+    return;
+  }
+  ++this->totals.starts_refused;
+  switch (reply.verdict) {
+    case WorkerVerdict::kBadTicket:
+      if (run->step != nullptr) {
+        const auto ticket = run->step->advice.good.find(worker.record.worker);
+        if (ticket != run->step->advice.good.end()) {
+          ticket->second.valid_until = time.now;
+        }
+      }
+      break;
+    case WorkerVerdict::kOtherLife:
+      this->BeginOtherLife(worker, time);
+      return;
+    case WorkerVerdict::kNotSent:
+      this->NoteSilence(worker, time);
+      break;
+    default:
+      worker.shunned_until = time.now + this->options.shun_time;
+      break;
+  }
+  this->RunDidNotStart(*run, time.now, time);
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -0,0 +1,335 @@
+// Workers: their records, leases, lists and lives.
+#include <algorithm>
+#include <utility>
+
+#include "agatepass/pool/pool_planner.h"
+
+namespace agatepass::pool {
+
+namespace {
+
+/** Calls without an answer in a row after which a worker gets no new work. */
+constexpr uint32_t kSilentCalls = 1;
+
+/** Prefix of labels that name a rack; other labels name the kind. */
+constexpr char kRackPrefix = 'r';
+
+/** Returns the label that names the rack: "r", digits, "-", digits. */
+base::RackId RackOf(const WorkerRecord& record) {
+  for (const std::string& label : record.labels) {
+    if (label.size() < 4 || label[0] != kRackPrefix) continue;
+    if (label.find('-') == std::string::npos) continue;
+    if (label.find_first_not_of("0123456789-", 1) != std::string::npos) {
+      continue;
+    }
+    return base::RackId(label);
+  }
+  return {};
+}
+
+}  // namespace
+
+void PoolPlanner::OnWorker(const WorkerRecord& record,
+                           const PlannerTime& time) {
+  std::unique_ptr<WorkerState>& slot = this->workers[record.worker];
+  if (!slot) {
+    slot = std::make_unique<WorkerState>();
+    slot->next_review = time.now;
+    slot->last_answer = time.now;
+  } else if (slot->record.born_ms != 0 && record.born_ms != 0 &&
+             slot->record.born_ms != record.born_ms) {
+    this->BeginOtherLife(*slot, time);
+  }
+  if (record.draining && !slot->record.draining) {
+    this->log.Add(time.now, "worker draining", "worker={} remaining_ms={}",
+                  record.worker.value, base::ToMilliseconds(record.remaining));
+  }
+  const int64_t born_ms =
+      record.born_ms != 0 ? record.born_ms : slot->record.born_ms;
+  slot->record = record;
+  slot->record.born_ms = born_ms;
+  slot->rack = RackOf(record);
+  slot->listed = true;
+  this->decide = true;
+}
+
+void PoolPlanner::OnWorkerUnlisted(const base::WorkerId& id,
+                                   const PlannerTime& time) {
+  const auto found = this->workers.find(id);
+  if (found == this->workers.end()) return;
+  found->second->listed = false;
+  this->log.Add(time.now, "worker unlisted", "worker={} runs={}", id.value,
+                found->second->runs.size());
+}
+
+std::optional<int64_t> PoolPlanner::LeaseOnWorkerClock(
+    const WorkerState& worker, base::Instant now) const {
+  if (!worker.clock_ms) return std::nullopt;
+  return *worker.clock_ms + base::ToMilliseconds(now - worker.clock_at) +
+         base::ToMilliseconds(this->options.worker_lease);
+}
+
+void PoolPlanner::NoteClock(WorkerState& worker, int64_t clock_ms,
+                            base::Instant now) {
+  worker.clock_ms = clock_ms;
+  worker.clock_at = now;
+  worker.last_answer = now;
+  worker.silent_calls = 0;
+}
+
+void PoolPlanner::SendReviews(const PlannerTime& time) {
+  for (auto& [id, worker] : this->workers) {
+    if (worker->review_in_flight || time.now < worker->next_review) continue;
+    this->SendReview(*worker, time);
+  }
+}
+
+void PoolPlanner::SendReview(WorkerState& worker, const PlannerTime& time) {
+  ReviewOrder order{.worker = worker.record.worker,
+                    .endpoint = worker.record.endpoint,
+                    .fence = this->options.fence,
+                    .forget_up_to = worker.stored_ends};
+  order.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
+  // Ends that are listed already would make the worker answer at once.
+  const bool waits =
+      worker.reviewed && worker.unstored.empty() && worker.silent_calls == 0;
+  if (waits) {
+    order.wait = worker.runs.empty() ? this->options.idle_review_wait
+                                     : this->options.review_wait;
+  }
+  if (order.lease_until_ms) {
+    // The worker may read the order late and its clock may be slow.
+    const base::Duration longest = std::chrono::duration_cast<base::Duration>(
+        (this->options.worker_lease + (time.now - worker.clock_at)) /
+        this->options.slowest_clock);
+    worker.lapses_at = std::max(worker.lapses_at, time.now + longest);
+  }
+  worker.review_in_flight = true;
+  worker.review_sent = time.now;
+  this->effects.push_back(std::move(order));
+}
+
+void PoolPlanner::SendStops(const PlannerTime& time) {
+  for (const RunKey& key : this->stopping) {
+    const auto found = this->runs.find(key);
+    if (found == this->runs.end()) continue;
+    RunState& run = *found->second;
+    if (run.stop_in_flight || run.stopped_at || time.now < run.next_stop) {
+      continue;
+    }
+    run.stop_in_flight = true;
+    this->effects.push_back(StopOrder{.worker = run.worker->record.worker,
+                                      .endpoint = run.worker->record.endpoint,
+                                      .task = run.task,
+                                      .run = run.run,
+                                      .fence = this->options.fence});
+  }
+}
+
+void PoolPlanner::OnStop(const TaskName& task, RunNumber number,
+                         const OrderReply& reply, const PlannerTime& time) {
+  if (reply.verdict == WorkerVerdict::kFenced) {
+    this->LeaveOffice("a worker has seen a higher fence");
+    return;
+  }
+  RunState* run = this->FindRun(task, number);
+  if (run == nullptr) return;
+  run->stop_in_flight = false;
+  switch (reply.verdict) {
+    case WorkerVerdict::kDone:
+    case WorkerVerdict::kOldRun:
+      run->stopped_at = time.now;
+      if (!run->worker->review_in_flight) run->worker->next_review = time.now;
+      break;
+    case WorkerVerdict::kOtherLife:
+      this->BeginOtherLife(*run->worker, time);
+      break;
+    default:
+      run->next_stop = time.now + this->options.stop_retry;
+      break;
+  }
+}
+
+void PoolPlanner::OnReview(const base::WorkerId& id, const ReviewReply& reply,
+                           const PlannerTime& time) {
+  if (reply.verdict == WorkerVerdict::kFenced) {
+    this->LeaveOffice("a worker has seen a higher fence");
+    return;
+  }
+  const auto found = this->workers.find(id);
+  if (found == this->workers.end()) return;
+  WorkerState& worker = *found->second;
+  worker.review_in_flight = false;
+  if (reply.verdict == WorkerVerdict::kOtherLife) {
+    this->BeginOtherLife(worker, time);
+    worker.next_review = time.now + this->options.review_retry;
+    return;
+  }
+  if (reply.verdict != WorkerVerdict::kDone) {
+    this->NoteSilence(worker, time);
+    worker.next_review = time.now + this->options.review_retry;
+    return;
+  }
+  if (reply.born_ms != 0 && worker.record.born_ms != 0 &&
+      reply.born_ms != worker.record.born_ms) {
+    this->BeginOtherLife(worker, time);
+  }
+  if (reply.born_ms != 0) worker.record.born_ms = reply.born_ms;
+  this->NoteClock(worker, reply.worker_clock_ms, time.now);
+  if (!std::exchange(worker.reviewed, true)) {
+    this->log.Add(time.now, "worker reviewed", "worker={} running={} ended={}",
+                  id.value, reply.running.size(), reply.ended.size());
+  }
+  for (const EndedRow& row : reply.ended) {
+    if (row.number > worker.handled_ends) this->HandleEnd(worker, row, time);
+  }
+  this->HandleRunningRows(worker, reply, time);
+  this->HandleMissingRuns(worker, reply, time);
+  this->unread.erase(id);
+  worker.next_review = worker.unstored.empty()
+                           ? time.now
+                           : time.now + this->options.review_retry;
+  this->decide = true;
+}
+
+void PoolPlanner::HandleRunningRows(WorkerState& worker,
+                                    const ReviewReply& reply,
+                                    const PlannerTime& time) {
+  for (const RunningRow& row : reply.running) {
+    RunState* run = this->FindRun(row.task, row.run);
+    if (run == nullptr || run->worker != &worker) {
+      this->AdoptRow(worker, row, time);
+      continue;
+    }
+    if (run->phase == RunPhase::kOrdered) {
+      run->phase = RunPhase::kRunning;
+      run->confirmed_at = time.now;
+    }
+    if (row.percent != run->percent) {
+      run->percent = row.percent;
+      run->percent_changed = time.now;
+    }
+    if (run->step != nullptr && !row.saved.empty()) {
+      run->step->tasks[row.task.index].saved = row.saved;
+    }
+  }
+}
+
+void PoolPlanner::HandleMissingRuns(WorkerState& worker,
+                                    const ReviewReply& reply,
+                                    const PlannerTime& time) {
+  std::set<RunKey> present;
+  for (const RunningRow& row : reply.running) {
+    present.emplace(row.task, row.run);
+  }
+  std::vector<RunState*> missing;
+  for (RunState* run : worker.runs) {
+    if (present.contains({run->task, run->run})) continue;
+    const bool stopped =
+        run->stopped_at && *run->stopped_at < worker.review_sent;
+    const bool vanished = run->phase == RunPhase::kRunning &&
+                          run->confirmed_at < worker.review_sent;
+    if (stopped || vanished) missing.push_back(run);
+  }
+  for (RunState* run : missing) {
+    this->log.Add(time.now, "run settled as absent",
+                  "task={} run={} worker={} phase={}", ToString(run->task),
+                  run->run, worker.record.worker.value,
+                  static_cast<int>(run->phase));
+    this->RunDidNotStart(*run, time.now, time);
+  }
+}
+
+void PoolPlanner::AdoptRow(WorkerState& worker, const RunningRow& row,
+                           const PlannerTime& time) {
+  StepState* step = this->FindStep(row.task);
+  const bool wanted = step != nullptr && step->job->IsOpen() &&
+                      step->job->inherited &&
+                      !step->tasks[row.task.index].succeeded &&
+                      step->tasks[row.task.index].active == nullptr;
+  RunState& run = this->AddRun(
+      row.task, row.run, worker, wanted ? step : nullptr,
+      step == nullptr ? platform::Resources{} : step->definition->need);
+  run.phase = RunPhase::kRunning;
+  run.ordered_at = time.now;
+  run.confirmed_at = time.now;
+  run.percent = row.percent;
+  run.percent_changed = time.now;
+  this->log.Add(time.now, wanted ? "run adopted" : "run not wanted",
+                "task={} run={} worker={} percent={}", ToString(row.task),
+                row.run, worker.record.worker.value, row.percent);
+  if (!wanted) {
+    this->RequestStop(run, time.now);
+    return;
+  }
+  run.expected_end = time.now + step->definition->estimate;
+  if (!row.saved.empty()) step->tasks[row.task.index].saved = row.saved;
+  if (step->job->phase == JobPhase::kQueued) {
+    step->job->phase = JobPhase::kRunning;
+  }
+}
+
+void PoolPlanner::NoteSilence(WorkerState& worker, const PlannerTime& time) {
+  ++worker.silent_calls;
+  worker.shunned_until = time.now + this->options.shun_time;
+  if (worker.silent_calls == kSilentCalls) {
+    this->log.Add(time.now, "worker silent", "worker={} last_answer_ms={}",
+                  worker.record.worker.value,
+                  base::ToMilliseconds(time.now - worker.last_answer));
+  }
+}
+
+void PoolPlanner::BeginOtherLife(WorkerState& worker, const PlannerTime& time) {
+  this->LoseRuns(worker, "another life of the worker answers", time);
+  worker.reviewed = false;
+  worker.stored_ends = 0;
+  worker.handled_ends = 0;
+  worker.unstored.clear();
+  worker.clock_ms.reset();
+  worker.lapses_at = {};
+  worker.record.born_ms = 0;
+  worker.next_review = time.now;
+  this->unread.erase(worker.record.worker);
+}
+
+void PoolPlanner::LoseRuns(WorkerState& worker, std::string_view reason,
+                           const PlannerTime& time) {
+  if (worker.runs.empty()) return;
+  ++this->totals.workers_lost;
+  this->log.Add(time.now, "runs lost", "worker={} runs={} reason=\"{}\"",
+                worker.record.worker.value, worker.runs.size(), reason);
+  const std::vector<RunState*> lost = worker.runs;
+  for (RunState* run : lost) this->RunDidNotStart(*run, time.now, time);
+}
+
+void PoolPlanner::DropLapsedWorkers(const PlannerTime& time) {
+  for (auto entry = this->workers.begin(); entry != this->workers.end();) {
+    WorkerState& worker = *entry->second;
+    // Not even the latest lease that may have been granted can still hold.
+    const bool lapsed =
+        time.now > worker.lapses_at &&
+        time.now > worker.last_answer + this->options.worker_lease;
+    if (!lapsed) {
+      ++entry;
+      continue;
+    }
+    if (!worker.runs.empty()) this->LoseRuns(worker, "its lease lapsed", time);
+    const bool kept_for = this->hold && this->hold->workers.contains(&worker);
+    const bool forget = !worker.listed && !worker.review_in_flight &&
+                        !kept_for && worker.reserved == platform::Resources{};
+    if (forget) {
+      this->log.Add(time.now, "worker forgotten", "worker={}",
+                    entry->first.value);
+      entry = this->workers.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+bool PoolPlanner::MayStartInherited(base::Instant now) const {
+  if (now >= this->inherited_safe_at) return true;
+  return this->unread.empty();
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -0,0 +1,165 @@
+#include "agatepass/pool/pool_planner.h"
+
+#include <utility>
+
+namespace agatepass::pool {
+
+namespace {
+
+/** Longest time between two decisions while work waits. */
+constexpr base::Duration kDecisionPeriod = std::chrono::milliseconds(50);
+
+/** Slack for a planner that goes on for a while before it finds itself
+ * deposed. */
+constexpr base::Duration kDeposedPlannerSlack = std::chrono::seconds(2);
+
+}  // namespace
+
+std::string_view RunEndName(RunEnd end) {
+  switch (end) {
+    case RunEnd::kSucceeded:
+      return "succeeded";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLapsed:
+      return "lease lapsed";
+    case RunEnd::kGangBroken:
+      return "gang broken";
+    case RunEnd::kGangIncomplete:
+      return "gang incomplete";
+  }
+  return "unknown";
+}
+
+std::string_view WorkerVerdictName(WorkerVerdict verdict) {
+  switch (verdict) {
+    case WorkerVerdict::kDone:
+      return "done";
+    case WorkerVerdict::kFenced:
+      return "fenced";
+    case WorkerVerdict::kOldRun:
+      return "old run";
+    case WorkerVerdict::kTooLate:
+      return "too late";
+    case WorkerVerdict::kNoRoom:
+      return "no room";
+    case WorkerVerdict::kBadTicket:
+      return "bad ticket";
+    case WorkerVerdict::kOtherLife:
+      return "other life";
+    case WorkerVerdict::kUnwell:
+      return "unwell";
+    case WorkerVerdict::kMalformed:
+      return "malformed";
+    case WorkerVerdict::kNotSent:
+      return "not sent";
+    case WorkerVerdict::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+PoolPlanner::PoolPlanner(const PlannerOptions& options,
+                         timeline::DecisionLog& log, const PlannerTime& time)
+    : options(options), log(log), term_began(time.now) {
+  this->inherited_safe_at = time.now +
+                            std::chrono::duration_cast<base::Duration>(
+                                options.worker_lease / options.slowest_clock) +
+                            kDeposedPlannerSlack;
+}
+
+void PoolPlanner::SetQueues(const QueueTable& table, const PlannerTime& time) {
+  if (table.version < this->queues.version) return;
+  this->queues = table;
+  for (auto& [id, job] : this->open) this->ApplyQueue(*job);
+  this->decide = true;
+  this->log.Add(time.now, "planner configured", "version={} queues={}",
+                table.version, table.queues.size());
+}
+
+void PoolPlanner::Load(std::span<const StoredJob> stored,
+                       std::span<const base::WorkerId> noted,
+                       const PlannerTime& time) {
+  for (const StoredJob& entry : stored) {
+    JobState& job = this->AddJob(entry.job, time);
+    job.stored = true;
+    job.inherited = true;
+    if (!entry.progress) continue;
+    for (const SucceededRange& range : entry.progress->succeeded) {
+      StepState* step = this->FindStep(
+          {entry.job.id, range.occurrence, range.step, range.first});
+      if (step == nullptr) continue;
+      for (uint32_t i = range.first; i <= range.last && i < step->tasks.size();
+           ++i) {
+        if (step->tasks[i].succeeded) continue;
+        step->tasks[i].succeeded = true;
+        ++step->succeeded;
+        --step->waiting;
+      }
+    }
+    for (const TaskProgress& row : entry.progress->tasks) {
+      StepState* step =
+          this->FindStep({entry.job.id, row.occurrence, row.step, row.index});
+      if (step == nullptr) continue;
+      TaskState& task = step->tasks[row.index];
+      task.last_run = row.last_run;
+      task.failures = row.failures;
+      task.saved = row.saved;
+      if (step->definition->gang) {
+        step->gang_failures = std::max(step->gang_failures, row.failures);
+        step->failed_run = std::max(step->failed_run, row.last_run);
+      }
+    }
+    job.phase = entry.progress->phase;
+    job.stored_phase = job.phase;
+    job.final_ms = entry.progress->final_ms;
+    if (!job.IsOpen()) {
+      job.final_at = time.now;
+      this->open.erase(job.job.id);
+    }
+  }
+  this->unread.insert(noted.begin(), noted.end());
+  this->log.Add(time.now, "planner loaded",
+                "fence={} jobs={} open={} workers={}", this->options.fence,
+                this->jobs.size(), this->open.size(), noted.size());
+}
+
+std::vector<Effect> PoolPlanner::Advance(const PlannerTime& time) {
+  if (!this->deposed) {
+    this->DropLapsedWorkers(time);
+    this->SendStops(time);
+    if (!this->retiring && (this->decide || time.now >= this->next_decision)) {
+      this->decide = false;
+      this->next_decision = time.now + kDecisionPeriod;
+      this->Decide(time);
+    }
+    this->SendCommits(time);
+    this->SendReviews(time);
+    this->RemoveExpired(time);
+  }
+  return std::exchange(this->effects, {});
+}
+
+bool PoolPlanner::IsSettled() const {
+  return this->commits.empty() && this->unwritten.empty();
+}
+
+std::pair<int64_t, int64_t> PoolPlanner::Usage() const {
+  int64_t used = 0;
+  int64_t total = 0;
+  for (const auto& [id, worker] : this->workers) {
+    if (!worker->listed) continue;
+    used += worker->used.millicores;
+    total += worker->record.total.millicores;
+  }
+  return {used, total};
+}
+
+void PoolPlanner::LeaveOffice(std::string reason) {
+  if (std::exchange(this->deposed, true)) return;
+  this->effects.push_back(StepDown{std::move(reason)});
+}
+
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/pool_planner.h
@@ -0,0 +1,294 @@
+/** \file
+ * The planner of a pool of workers: it alone accepts jobs and orders runs. It
+ * has no clock, no socket and no thread.
+ */
+#ifndef AGATEPASS_POOL_POOL_PLANNER_H_
+#define AGATEPASS_POOL_POOL_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agatepass/base/identifier.h"
+#include "agatepass/base/time.h"
+#include "agatepass/pool/job.h"
+#include "agatepass/pool/messages.h"
+#include "agatepass/pool/planner_options.h"
+#include "agatepass/pool/pool_state.h"
+#include "agatepass/pool/queue_table.h"
+#include "agatepass/pool/record_codec.h"
+#include "agatepass/timeline/decision_log.h"
+
+namespace agatepass::pool {
+
+/** A job as the store held it when the planner took office. */
+struct StoredJob {
+  Job job;
+  std::optional<JobProgress> progress;
+};
+
+/** The time as the planner is told it. */
+struct PlannerTime {
+  base::Instant now;
+  /** Unix milliseconds, for due times only. */
+  int64_t wall_ms = 0;
+};
+
+/** Counts for the metrics. */
+struct PlannerCounts {
+  uint64_t accepted = 0;
+  uint64_t rejected = 0;
+  uint64_t starts = 0;
+  uint64_t starts_refused = 0;
+  uint64_t starts_in_doubt = 0;
+  uint64_t ends = 0;
+  uint64_t failures = 0;
+  uint64_t workers_lost = 0;
+  uint64_t advice_queries = 0;
+  uint64_t commits = 0;
+};
+
+/** Plans one pool of workers for one term of office.
+ *
+ * Inputs change its state; Advance returns what has to be done then. A run's
+ * room on its worker counts until the run has provably ended, and a task never
+ * gets a second run before that.
+ *
+ * \code
+ * PoolPlanner planner({.fence = 412}, log, time);
+ * planner.SetQueues(queues);
+ * planner.Load(jobs, workers, time);
+ * planner.OnWorker(record, time);
+ * planner.Submit(call, job, time);
+ * for (Effect& effect : planner.Advance(time)) CarryOut(effect);
+ * \endcode
+ */
+class PoolPlanner {
+ public:
+  PoolPlanner(const PlannerOptions& options, timeline::DecisionLog& log,
+              const PlannerTime& time);
+
+  /** Puts a configuration in force; an older one is ignored. */
+  void SetQueues(const QueueTable& queues, const PlannerTime& time);
+
+  /** Takes over what the store held at the beginning of the term.
+   * \param noted workers that may have runs of earlier terms. */
+  void Load(std::span<const StoredJob> stored,
+            std::span<const base::WorkerId> noted, const PlannerTime& time);
+
+  /** The store lists a worker, anew or with changes. */
+  void OnWorker(const WorkerRecord& record, const PlannerTime& time);
+
+  /** The store no longer lists a worker. */
+  void OnWorkerUnlisted(const base::WorkerId& worker, const PlannerTime& time);
+
+  // Calls of callers. Each is answered once by a CallerAnswer.
+
+  /** Accepts a job or rejects it; a job known by its id is accepted again. */
+  void Submit(CallId call, Job job, const PlannerTime& time);
+
+  /** Cancels a job for good. */
+  void Cancel(CallId call, const base::JobId& job, const PlannerTime& time);
+
+  /** Tells a job's phase. */
+  void Describe(CallId call, const base::JobId& job, const PlannerTime& time);
+
+  /** Counts a queue's jobs of which no task has started. */
+  void CountPending(CallId call, const std::string& queue);
+
+  // Replies to effects.
+
+  void OnCommit(uint64_t commit, const CommitReply& reply,
+                const PlannerTime& time);
+  void OnStart(const TaskName& task, RunNumber run, const OrderReply& reply,
+               const PlannerTime& time);
+  void OnStop(const TaskName& task, RunNumber run, const OrderReply& reply,
+              const PlannerTime& time);
+  void OnReview(const base::WorkerId& worker, const ReviewReply& reply,
+                const PlannerTime& time);
+  void OnAdvice(const base::JobId& job, uint32_t occurrence, uint32_t step,
+                const AdviceReply& reply, const PlannerTime& time);
+  /** \param exists whether the store has the job; nothing if it did not say. */
+  void OnStoreCheck(CallId call, std::optional<bool> exists);
+
+  /** Does what is due and returns what has to be carried out, in order. */
+  std::vector<Effect> Advance(const PlannerTime& time);
+
+  /** Whether everything decided is stored, so that the term may end. */
+  bool IsSettled() const;
+
+  /** Stops accepting and starting, for a hand-over. */
+  void Retire() { this->retiring = true; }
+
+  /** Processors in use and present, in millicores. */
+  std::pair<int64_t, int64_t> Usage() const;
+
+  const PlannerCounts& counts() const { return this->totals; }
+
+  /** Jobs accepted and not final. */
+  size_t open_jobs() const { return this->open.size(); }
+
+ private:
+  using RunKey = std::pair<TaskName, RunNumber>;
+
+  /** A commit under way. */
+  struct SentCommit {
+    std::vector<base::JobId> created;
+    /** Jobs whose progress was written, with the changes it covers. */
+    std::vector<std::pair<base::JobId, uint64_t>> progressed;
+    std::vector<base::JobId> removed;
+    std::vector<base::WorkerId> workers;
+  };
+
+  /** A worker considered for a step, with the tasks that fit on it. */
+  struct Candidate {
+    WorkerState* worker = nullptr;
+    uint32_t fits = 0;
+    bool ticket_valid = true;
+  };
+
+  /** Workers whose room is kept for a gang until it fits. */
+  struct GangHold {
+    StepState* step = nullptr;
+    base::Instant until;
+    std::set<const WorkerState*> workers;
+  };
+
+  // planner_callers.cpp
+  void Answer(CallId call, base::ResultCode code, std::string detail = "");
+  void Reject(CallId call, const Job& job, base::ResultCode code,
+              base::Duration retry_after, std::string reason,
+              const PlannerTime& time);
+  std::optional<base::Duration> Overload(const Job& job, const Queue& queue,
+                                         base::Instant now);
+  bool FitsAnyWorker(const Job& job, const base::ServiceId& service) const;
+  void ApplyQueue(JobState& job);
+  JobState& AddJob(Job job, const PlannerTime& time);
+  void RejectUnstored(JobState& job, const PlannerTime& time);
+
+  // planner_commits.cpp
+  void SendCommits(const PlannerTime& time);
+  bool FillCommit(StoreCommit& commit, SentCommit& sent);
+  void AddWorkersNote(StoreCommit& commit, SentCommit& sent);
+  void AddJobWrites(JobState& job, StoreCommit& commit, SentCommit& sent);
+  void FinishCommit(const SentCommit& sent, const PlannerTime& time);
+  void RetryCommit(const SentCommit& sent, platform::Outcome outcome,
+                   const PlannerTime& time);
+  void MarkCreated(JobState& job, const PlannerTime& time);
+  void MarkChanged(JobState& job);
+  JobProgress ProgressOf(const JobState& job) const;
+  void ReleaseStoredEnds(WorkerState& worker, const PlannerTime& time);
+  void RemoveExpired(const PlannerTime& time);
+
+  // planner_workers.cpp
+  void SendReviews(const PlannerTime& time);
+  void SendReview(WorkerState& worker, const PlannerTime& time);
+  void SendStops(const PlannerTime& time);
+  std::optional<int64_t> LeaseOnWorkerClock(const WorkerState& worker,
+                                            base::Instant now) const;
+  void NoteClock(WorkerState& worker, int64_t clock_ms, base::Instant now);
+  void NoteSilence(WorkerState& worker, const PlannerTime& time);
+  void BeginOtherLife(WorkerState& worker, const PlannerTime& time);
+  void LoseRuns(WorkerState& worker, std::string_view reason,
+                const PlannerTime& time);
+  void HandleRunningRows(WorkerState& worker, const ReviewReply& reply,
+                         const PlannerTime& time);
+  void HandleMissingRuns(WorkerState& worker, const ReviewReply& reply,
+                         const PlannerTime& time);
+  void AdoptRow(WorkerState& worker, const RunningRow& row,
+                const PlannerTime& time);
+  void DropLapsedWorkers(const PlannerTime& time);
+  bool MayStartInherited(base::Instant now) const;
+  void LeaveOffice(std::string reason);
+
+  // planner_runs.cpp
+  RunState& AddRun(const TaskName& task, RunNumber run, WorkerState& worker,
+                   StepState* step, const platform::Resources& need);
+  RunState* FindRun(const TaskName& task, RunNumber run);
+  void ReleaseRun(RunState& run);
+  void RequestStop(RunState& run, base::Instant at);
+  void BreakGang(StepState& step, base::Instant now);
+  void HandleEnd(WorkerState& worker, const EndedRow& row,
+                 const PlannerTime& time);
+  void HandleSuccess(StepState& step, uint32_t index, const PlannerTime& time);
+  void HandleFailure(WorkerState& worker, StepState& step, const EndedRow& row,
+                     const PlannerTime& time);
+  void RunDidNotStart(RunState& run, base::Instant not_before,
+                      const PlannerTime& time);
+  void FinishJob(JobState& job, JobPhase phase, const PlannerTime& time);
+  StepState* FindStep(const TaskName& task);
+
+  // planner_decide.cpp
+  void Decide(const PlannerTime& time);
+  bool IsReady(const StepState& step, const PlannerTime& time) const;
+  std::vector<StepState*> ReadySteps(const PlannerTime& time);
+  void PlaceStep(StepState& step, const PlannerTime& time);
+  std::vector<Candidate> FindCandidates(StepState& step,
+                                        const PlannerTime& time);
+  bool IsUsable(const WorkerState& worker, const StepState& step,
+                const PlannerTime& time) const;
+  uint32_t FitsOn(const WorkerState& worker, const StepState& step) const;
+  void PlaceTasks(StepState& step, std::vector<Candidate> candidates,
+                  const PlannerTime& time);
+  void PlaceGang(StepState& step, std::vector<Candidate> candidates,
+                 const PlannerTime& time);
+  void StartTask(StepState& step, uint32_t index, RunNumber run,
+                 WorkerState& worker, const PlannerTime& time);
+  void HoldForGang(StepState& step, const PlannerTime& time);
+  void ReserveAndAsk(StepState& step,
+                     std::span<const std::pair<WorkerState*, uint32_t>> plan,
+                     const PlannerTime& time);
+  void ReleaseReservation(StepState& step);
+
+  // planner_advice.cpp
+  bool NeedsAdvice(const StepState& step) const;
+  void AskAdvice(StepState& step, std::vector<base::WorkerId> workers,
+                 const PlannerTime& time);
+  void AskFirstAdvice(StepState& step, const PlannerTime& time);
+  const std::string& TicketFor(const StepState& step,
+                               const WorkerState& worker) const;
+
+  PlannerOptions options;
+  timeline::DecisionLog& log;
+  QueueTable queues;
+  PlannerCounts totals;
+  bool retiring = false;
+  bool deposed = false;
+  /** Whether something changed since the last decision that may let work
+   * start. */
+  bool decide = true;
+  base::Instant next_decision;
+  base::Instant term_began;
+  /** Latest end of what earlier terms may have started where no review of this
+   * term reaches. */
+  base::Instant inherited_safe_at;
+  /** Workers of earlier terms whose lists have not been read. */
+  std::set<base::WorkerId> unread;
+  std::map<base::JobId, std::unique_ptr<JobState>> jobs;
+  /** Jobs that are not final, in the order of their ids. */
+  std::map<base::JobId, JobState*> open;
+  std::map<base::WorkerId, std::unique_ptr<WorkerState>> workers;
+  std::map<RunKey, std::unique_ptr<RunState>> runs;
+  std::set<RunKey> stopping;
+  /** Jobs with something to write. */
+  std::set<base::JobId> unwritten;
+  std::map<uint64_t, SentCommit> commits;
+  std::set<base::JobId> being_written;
+  bool noting_workers = false;
+  uint64_t next_commit_id = 1;
+  base::Instant next_commit;
+  base::Instant store_failed_until;
+  base::Instant next_removal;
+  std::optional<GangHold> hold;
+  std::vector<Effect> effects;
+};
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_POOL_PLANNER_H_
--- /dev/null
+++ b/src/agatepass/pool/record_codec.cpp
@@ -0,0 +1,162 @@
+#include "agatepass/pool/record_codec.h"
+
+#include <array>
+
+#include "agatepass/base/result_code.h"
+#include "fmt/format.h"
+#include "nlohmann/json.hpp"
+
+namespace agatepass::pool {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// In the order of JobPhase.
+constexpr std::array<std::string_view, 5> kPhaseNames = {
+    "queued", "running", "succeeded", "failed", "cancelled"};
+
+Json EncodeStep(const Step& step) {
+  Json out = {{"n", step.count},
+              {"c", step.need.millicores},
+              {"m", step.need.memory_mib},
+              {"e", step.estimate.count()}};
+  // Fields at their defaults are left out: most steps have few.
+  if (step.need.accelerators != 0) out["g"] = step.need.accelerators;
+  if (!step.after.empty()) out["after"] = step.after;
+  if (step.checkpoint) out["checkpoint"] = true;
+  if (step.gang) out["gang"] = true;
+  if (step.same_rack) out["same_rack"] = true;
+  if (step.speculative) out["speculative"] = true;
+  if (step.long_running) out["long_running"] = true;
+  if (step.uses_idle_processors) out["idle"] = true;
+  if (!step.required_label.empty()) out["label"] = step.required_label;
+  if (!step.data_rack.empty()) out["rack"] = step.data_rack.value;
+  if (step.most_per_worker != 0) out["per_worker"] = step.most_per_worker;
+  if (!step.image.empty()) out["image"] = step.image;
+  if (step.latency_target.count() != 0) {
+    out["target"] = step.latency_target.count();
+  }
+  if (step.most_unavailable != 0) out["unavailable"] = step.most_unavailable;
+  return out;
+}
+
+Step DecodeStep(const Json& in) {
+  Step step;
+  step.count = in.at("n").get<uint32_t>();
+  step.need.millicores = in.at("c").get<int64_t>();
+  step.need.memory_mib = in.at("m").get<int64_t>();
+  step.need.accelerators = in.value("g", int64_t{0});
+  step.estimate = base::Duration(in.at("e").get<int64_t>());
+  step.after = in.value("after", std::vector<uint32_t>());
+  step.checkpoint = in.value("checkpoint", false);
+  step.gang = in.value("gang", false);
+  step.same_rack = in.value("same_rack", false);
+  step.speculative = in.value("speculative", false);
+  step.long_running = in.value("long_running", false);
+  step.uses_idle_processors = in.value("idle", false);
+  step.required_label = in.value("label", "");
+  step.data_rack = base::RackId(in.value("rack", ""));
+  step.most_per_worker = in.value("per_worker", uint32_t{0});
+  step.image = in.value("image", "");
+  step.latency_target = base::Duration(in.value("target", int64_t{0}));
+  step.most_unavailable = in.value("unavailable", uint32_t{0});
+  return step;
+}
+
+absl::Status Malformed(std::string_view what, std::string_view reason) {
+  return base::ErrorStatus(
+      base::ResultCode::kInvalidRequest,
+      fmt::format("{} in the store is malformed: {}", what, reason));
+}
+
+}  // namespace
+
+std::string_view JobPhaseName(JobPhase phase) {
+  return kPhaseNames[static_cast<size_t>(phase)];
+}
+
+std::string JobKey(const base::JobId& job) { return kJobPrefix + job.value; }
+
+std::string ProgressKey(const base::JobId& job) {
+  return kProgressPrefix + job.value;
+}
+
+std::string EncodeJob(const Job& job) {
+  Json out = {{"id", job.id.value},
+              {"queue", job.queue},
+              {"payload", job.payload},
+              {"accepted", job.accepted_ms}};
+  for (const Step& step : job.steps) out["steps"].push_back(EncodeStep(step));
+  if (job.occurrences != 0) {
+    out["times"] = {job.occurrences, job.first_due_ms, job.interval_ms};
+  }
+  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+absl::StatusOr<Job> DecodeJob(std::string_view text) {
+  try {
+    const Json in = Json::parse(text);
+    Job job;
+    job.id = base::JobId(in.at("id").get<std::string>());
+    job.queue = in.at("queue").get<std::string>();
+    job.payload = in.at("payload").get<std::string>();
+    job.accepted_ms = in.at("accepted").get<int64_t>();
+    for (const Json& step : in.at("steps")) {
+      job.steps.push_back(DecodeStep(step));
+    }
+    if (const auto times = in.find("times"); times != in.end()) {
+      job.occurrences = times->at(0).get<uint32_t>();
+      job.first_due_ms = times->at(1).get<int64_t>();
+      job.interval_ms = times->at(2).get<int64_t>();
+    }
+    return job;
+  } catch (const Json::exception& error) {
+    return Malformed("a job", error.what());
+  }
+}
+
+std::string EncodeProgress(const JobProgress& progress) {
+  Json out = {{"phase", JobPhaseName(progress.phase)}};
+  if (progress.final_ms != 0) out["final"] = progress.final_ms;
+  for (const SucceededRange& range : progress.succeeded) {
+    out["ok"].push_back(
+        {range.occurrence, range.step, range.first, range.last});
+  }
+  for (const TaskProgress& task : progress.tasks) {
+    out["tasks"].push_back({task.occurrence, task.step, task.index,
+                            task.last_run, task.failures, task.saved});
+  }
+  return out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+absl::StatusOr<JobProgress> DecodeProgress(std::string_view text) {
+  try {
+    const Json in = Json::parse(text);
+    JobProgress progress;
+    const std::string phase = in.at("phase").get<std::string>();
+    size_t index = 0;
+    while (index < kPhaseNames.size() && kPhaseNames[index] != phase) ++index;
+    if (index == kPhaseNames.size()) {
+      return Malformed("progress", "unknown phase " + phase);
+    }
+    progress.phase = static_cast<JobPhase>(index);
+    progress.final_ms = in.value("final", int64_t{0});
+    for (const Json& row : in.value("ok", Json::array())) {
+      progress.succeeded.push_back(
+          {row.at(0).get<uint32_t>(), row.at(1).get<uint32_t>(),
+           row.at(2).get<uint32_t>(), row.at(3).get<uint32_t>()});
+    }
+    for (const Json& row : in.value("tasks", Json::array())) {
+      progress.tasks.push_back(
+          {row.at(0).get<uint32_t>(), row.at(1).get<uint32_t>(),
+           row.at(2).get<uint32_t>(), row.at(3).get<RunNumber>(),
+           row.at(4).get<uint32_t>(), row.at(5).get<std::string>()});
+    }
+    return progress;
+  } catch (const Json::exception& error) {
+    return Malformed("progress", error.what());
+  }
+}
+
+}  // namespace agatepass::pool
