--- /dev/null
+++ b/fakes/pool_cell.cpp
@@ -0,0 +1,504 @@
+#include "fakes/pool_cell.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fmt/format.h"
+
+namespace agatepass::fakes {
+
+namespace {
+
+constexpr int64_t kWallBaseMs = 1'700'000'000'000;
+constexpr base::Duration kLatency = std::chrono::milliseconds(5);
+constexpr base::Duration kTick = std::chrono::milliseconds(20);
+constexpr base::Duration kOrderTimeout = std::chrono::milliseconds(900);
+constexpr base::Duration kReviewSlack = std::chrono::milliseconds(800);
+constexpr base::Duration kCommitTimeout = std::chrono::milliseconds(1500);
+constexpr int64_t kWorkerMillicores = 8000;
+constexpr int64_t kWorkerMemoryMib = 16384;
+
+}  // namespace
+
+pool::Job MakePoolJob(const std::string& id, uint32_t tasks, int64_t millicores,
+                      base::Duration time) {
+  pool::Job job;
+  job.id = base::JobId(id);
+  job.queue = "letters";
+  job.payload = "payload of " + id;
+  job.steps.push_back({.count = tasks,
+                       .need = {.millicores = millicores, .memory_mib = 100},
+                       .estimate = time});
+  return job;
+}
+
+PoolCell::PoolCell(uint64_t seed, size_t count) : random(seed) {
+  this->queues.version = 1;
+  this->queues.queues.push_back({.name = "letters",
+                                 .host = "h",
+                                 .prefix = "/letters/",
+                                 .service = base::ServiceId("desk"),
+                                 .priority = 1,
+                                 .attempts = 3,
+                                 .stretch = 4,
+                                 .slack = std::chrono::seconds(30)});
+  for (size_t i = 0; i < count; ++i) {
+    const std::string id = fmt::format("w{}", i);
+    this->workers.push_back(std::make_unique<PoolWorker>(
+        pool::WorkerRecord{.worker = base::WorkerId(id),
+                           .endpoint = {"10.0.0.1", 1},
+                           .service = base::ServiceId("desk"),
+                           .total = {.millicores = kWorkerMillicores,
+                                     .memory_mib = kWorkerMemoryMib},
+                           .born_ms = 1},
+        PoolWorker::Observer{
+            .plan = [this](const auto& task,
+                           auto run) { return this->PlanRun(task, run); },
+            .on_start =
+                [this](const auto& worker, const auto& order) {
+                  this->CheckStart(worker, order);
+                },
+            .on_end =
+                [this](const auto& worker, const auto& task, auto run,
+                       auto end) { this->NoteEnd(worker, task, run, end); }}));
+  }
+  this->TakeOffice();
+}
+
+PoolCell::~PoolCell() = default;
+
+pool::PlannerTime PoolCell::Now() const {
+  return {this->time,
+          kWallBaseMs + base::ToMilliseconds(this->time.time_since_epoch())};
+}
+
+void PoolCell::After(base::Duration delay, std::function<void()> action) {
+  this->agenda.emplace(this->time + delay, std::move(action));
+}
+
+bool PoolCell::Chance(double share) {
+  return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
+}
+
+pool::PoolPlanner* PoolCell::planner() {
+  if (this->planners.empty()) return nullptr;
+  Planner& last = *this->planners.back();
+  return last.alive && last.in_office ? last.state.get() : nullptr;
+}
+
+void PoolCell::TakeOffice() {
+  auto planner = std::make_unique<Planner>();
+  planner->fence = ++this->last_fence;
+  this->office = planner->fence;
+  planner->state = std::make_unique<pool::PoolPlanner>(
+      pool::PlannerOptions{.fence = planner->fence}, this->log, this->Now());
+  planner->state->SetQueues(this->queues, this->Now());
+  std::vector<pool::StoredJob> jobs;
+  std::vector<base::WorkerId> noted;
+  for (const auto& [key, value] : this->store) {
+    if (key.starts_with(pool::kJobPrefix)) {
+      pool::StoredJob job{.job = *pool::DecodeJob(value)};
+      const auto progress = this->store.find(pool::ProgressKey(job.job.id));
+      if (progress != this->store.end()) {
+        job.progress = *pool::DecodeProgress(progress->second);
+      }
+      jobs.push_back(std::move(job));
+    }
+  }
+  const std::string& note = this->store[pool::kWorkersKey];
+  for (size_t begin = 0; begin < note.size();) {
+    const size_t end = note.find('\n', begin);
+    noted.emplace_back(note.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  planner->state->Load(jobs, noted, this->Now());
+  for (const auto& worker : this->workers) {
+    if (this->unlisted.contains(worker->record.worker)) continue;
+    planner->state->OnWorker(worker->record, this->Now());
+  }
+  this->planners.push_back(std::move(planner));
+}
+
+void PoolCell::KillPlanner(base::Duration gap) {
+  for (const auto& planner : this->planners) planner->alive = false;
+  this->After(gap, [this] { this->TakeOffice(); });
+}
+
+void PoolCell::ReplacePlanner() { this->TakeOffice(); }
+
+void PoolCell::CrashWorker(size_t index) {
+  PoolWorker& worker = *this->workers[index];
+  worker.Crash(worker.record.born_ms + 1);
+}
+
+void PoolCell::DrainWorker(size_t index, base::Duration left) {
+  PoolWorker& worker = *this->workers[index];
+  worker.record.draining = true;
+  worker.record.remaining = left;
+  if (pool::PoolPlanner* planner = this->planner()) {
+    planner->OnWorker(worker.record, this->Now());
+  }
+  this->After(left, [this, index] {
+    this->CrashWorker(index);
+    this->faults.cut_off.insert(this->workers[index]->record.worker);
+    this->Unlist(index);
+  });
+}
+
+void PoolCell::Unlist(size_t index) {
+  const base::WorkerId& id = this->workers[index]->record.worker;
+  this->unlisted.insert(id);
+  if (pool::PoolPlanner* planner = this->planner()) {
+    planner->OnWorkerUnlisted(id, this->Now());
+  }
+}
+
+void PoolCell::Submit(pool::Job job) {
+  this->submitted.try_emplace(job.id, job);
+  if (pool::PoolPlanner* planner = this->planner()) {
+    const pool::CallId call = this->next_call++;
+    this->submit_calls[call] = job.id;
+    planner->Submit(call, std::move(job), this->Now());
+  }
+}
+
+void PoolCell::Cancel(const base::JobId& job) {
+  if (pool::PoolPlanner* planner = this->planner()) {
+    planner->Cancel(this->next_call++, job, this->Now());
+  }
+}
+
+void PoolCell::RunFor(base::Duration duration) {
+  const base::Instant end = this->time + duration;
+  base::Instant next_tick = this->time;
+  while (this->time < end) {
+    base::Instant next = std::min(next_tick, end);
+    if (!this->agenda.empty()) {
+      next = std::min(next, this->agenda.begin()->first);
+    }
+    this->time = std::max(this->time, next);
+    while (!this->agenda.empty() && this->agenda.begin()->first <= this->time) {
+      const auto action = std::move(this->agenda.begin()->second);
+      this->agenda.erase(this->agenda.begin());
+      action();
+    }
+    if (this->time >= next_tick) next_tick = this->time + kTick;
+    for (const auto& worker : this->workers) worker->Advance(this->time);
+    this->ServeReviews();
+    for (size_t i = 0; i < this->planners.size(); ++i) {
+      this->Pump(*this->planners[i]);
+    }
+  }
+  this->lines += this->log.Take(this->time);
+}
+
+std::string PoolCell::TakeLog() {
+  this->lines += this->log.Take(this->time);
+  return std::exchange(this->lines, "");
+}
+
+void PoolCell::Pump(Planner& planner) {
+  if (!planner.alive || !planner.in_office) return;
+  for (const pool::Effect& effect : planner.state->Advance(this->Now())) {
+    this->Carry(planner, effect);
+  }
+}
+
+void PoolCell::Carry(Planner& planner, const pool::Effect& effect) {
+  if (const auto* start = std::get_if<pool::StartOrder>(&effect)) {
+    this->CarryStart(planner, *start);
+  } else if (const auto* stop = std::get_if<pool::StopOrder>(&effect)) {
+    this->CarryStop(planner, *stop);
+  } else if (const auto* review = std::get_if<pool::ReviewOrder>(&effect)) {
+    this->CarryReview(planner, *review);
+  } else if (const auto* commit = std::get_if<pool::StoreCommit>(&effect)) {
+    this->CarryCommit(planner, *commit);
+  } else if (const auto* answer = std::get_if<pool::CallerAnswer>(&effect)) {
+    if (const auto call = this->submit_calls.find(answer->call);
+        call != this->submit_calls.end()) {
+      this->answers[call->second].push_back(answer->code);
+    }
+  } else if (const auto* check = std::get_if<pool::StoreCheck>(&effect)) {
+    planner.state->OnStoreCheck(check->call,
+                                this->store.contains(pool::JobKey(check->job)));
+  } else if (const auto* query = std::get_if<pool::AdviceQuery>(&effect)) {
+    this->After(query->cost, [this, &planner, query = *query] {
+      if (!planner.alive) return;
+      pool::AdviceReply reply{.answered = true,
+                              .valid = std::chrono::seconds(2)};
+      for (const base::WorkerId& worker : query.workers) {
+        // Half of the workers may run a step, the same ones each time.
+        const size_t hash =
+            std::hash<std::string>()(query.job.value + worker.value);
+        if (hash % 2 == 0) reply.good.push_back({worker, "ticket"});
+      }
+      planner.state->OnAdvice(query.job, query.occurrence, query.step, reply,
+                              this->Now());
+    });
+  } else if (std::get_if<pool::StepDown>(&effect) != nullptr) {
+    planner.in_office = false;
+  }
+}
+
+PoolWorker* PoolCell::Find(const base::WorkerId& id) {
+  if (this->faults.cut_off.contains(id)) return nullptr;
+  for (const auto& worker : this->workers) {
+    if (worker->record.worker == id) return worker.get();
+  }
+  return nullptr;
+}
+
+void PoolCell::CarryStart(Planner& planner, const pool::StartOrder& order) {
+  const auto reply = [this, &planner, task = order.task,
+                      run = order.run](const pool::OrderReply& answer) {
+    if (!planner.alive) return;
+    planner.state->OnStart(task, run, answer, this->Now());
+  };
+  if (this->Chance(this->faults.late_orders)) {
+    const auto delay = std::chrono::milliseconds(
+        std::uniform_int_distribution<int>(2000, 12000)(this->random));
+    const PoolWorker* meant = this->Find(order.worker);
+    const int64_t born = meant == nullptr ? 0 : meant->record.born_ms;
+    this->After(delay, [this, order, born] {
+      PoolWorker* worker = this->Find(order.worker);
+      // Orders name the life that they are meant for.
+      if (worker != nullptr && worker->record.born_ms == born) {
+        worker->Start(order, this->time);
+      }
+    });
+    this->After(kOrderTimeout, [reply] { reply({}); });
+    return;
+  }
+  this->After(kLatency, [this, order, reply] {
+    if (PoolWorker* worker = this->Find(order.worker)) {
+      const pool::OrderReply answer = worker->Start(order, this->time);
+      this->After(kLatency, [reply, answer] { reply(answer); });
+    } else {
+      this->After(kOrderTimeout, [reply] { reply({}); });
+    }
+  });
+}
+
+void PoolCell::CarryStop(Planner& planner, const pool::StopOrder& order) {
+  const auto reply = [this, &planner, task = order.task,
+                      run = order.run](const pool::OrderReply& answer) {
+    if (!planner.alive) return;
+    planner.state->OnStop(task, run, answer, this->Now());
+  };
+  this->After(kLatency, [this, order, reply] {
+    if (PoolWorker* worker = this->Find(order.worker)) {
+      const pool::OrderReply answer = worker->Stop(order, this->time);
+      this->After(kLatency, [reply, answer] { reply(answer); });
+    } else {
+      this->After(kOrderTimeout, [reply] { reply({}); });
+    }
+  });
+}
+
+void PoolCell::CarryReview(Planner& planner, const pool::ReviewOrder& order) {
+  this->After(kLatency, [this, &planner, order] {
+    this->reviews.push_back({&planner, order, this->time + order.wait});
+  });
+}
+
+void PoolCell::ServeReviews() {
+  std::vector<WaitingReview> waiting = std::exchange(this->reviews, {});
+  for (const WaitingReview& review : waiting) {
+    PoolWorker* worker = this->Find(review.order.worker);
+    if (worker == nullptr || worker->HasUnseenEnds() ||
+        this->time >= review.until) {
+      this->AnswerReview(review);
+    } else {
+      this->reviews.push_back(review);
+    }
+  }
+}
+
+void PoolCell::AnswerReview(const WaitingReview& review) {
+  Planner& planner = *review.planner;
+  const auto reply = [this, &planner, id = review.order.worker](
+                         const pool::ReviewReply& answer) {
+    if (!planner.alive) return;
+    planner.state->OnReview(id, answer, this->Now());
+  };
+  if (PoolWorker* worker = this->Find(review.order.worker)) {
+    const pool::ReviewReply answer = worker->Review(review.order, this->time);
+    this->After(kLatency, [reply, answer] { reply(answer); });
+  } else {
+    this->After(kReviewSlack,
+                [reply] { reply({.verdict = pool::WorkerVerdict::kNotSent}); });
+  }
+}
+
+pool::CommitReply PoolCell::Apply(pool::Fence fence,
+                                  const pool::StoreCommit& commit) {
+  if (this->office != fence) {
+    return {.outcome = platform::Outcome::kRefused, .lost_office = true};
+  }
+  pool::CommitReply reply{.outcome = platform::Outcome::kDone};
+  for (const pool::StoreWrite& write : commit.writes) {
+    if (write.create && this->store.contains(write.key)) {
+      reply.outcome = platform::Outcome::kRefused;
+      reply.existing.push_back(write.key);
+    }
+  }
+  if (reply.outcome != platform::Outcome::kDone) return reply;
+  for (const pool::StoreWrite& write : commit.writes) {
+    if (write.value) {
+      this->store[write.key] = *write.value;
+    } else {
+      this->store.erase(write.key);
+    }
+  }
+  return reply;
+}
+
+void PoolCell::CarryCommit(Planner& planner, const pool::StoreCommit& commit) {
+  const auto reply = [this, &planner,
+                      id = commit.id](const pool::CommitReply& answer) {
+    if (!planner.alive) return;
+    planner.state->OnCommit(id, answer, this->Now());
+  };
+  if (this->faults.store_down) {
+    this->After(kLatency,
+                [reply] { reply({.outcome = platform::Outcome::kNotSent}); });
+    return;
+  }
+  const bool lost = this->Chance(this->faults.lost_commits);
+  // A commit without an answer may be done at once or seconds later.
+  const base::Duration delay = lost && this->Chance(0.5)
+                                   ? base::Duration(std::chrono::seconds(3))
+                                   : kLatency;
+  this->After(delay, [this, fence = planner.fence, commit, reply, lost] {
+    const pool::CommitReply answer = this->Apply(fence, commit);
+    if (!lost) this->After(kLatency, [reply, answer] { reply(answer); });
+  });
+  if (lost) {
+    this->After(kCommitTimeout,
+                [reply] { reply({.outcome = platform::Outcome::kUnknown}); });
+  }
+}
+
+RunPlan PoolCell::PlanRun(const pool::TaskName& task, pool::RunNumber run) {
+  const pool::Job& job = this->submitted.at(task.job);
+  const pool::Step& step = job.steps[task.step];
+  RunPlan plan{.time = step.estimate,
+               .gang_size = step.gang ? step.count : 1,
+               .need = step.need};
+  // A payload "poison" fails always; others now and then, the same each time.
+  plan.fails = job.payload == "poison" ||
+               (run < 2 && this->Chance(this->faults.failing_runs));
+  return plan;
+}
+
+void PoolCell::Report(const std::string& violation) {
+  if (std::find(this->found.begin(), this->found.end(), violation) ==
+      this->found.end()) {
+    this->found.push_back(violation);
+  }
+}
+
+void PoolCell::CheckStart(const PoolWorker& worker,
+                          const pool::StartOrder& order) {
+  const std::string name = ToString(order.task);
+  ++this->starts[order.task];
+  this->last_start[order.task] = this->time;
+  for (const auto& other : this->workers) {
+    if (other.get() != &worker && other->IsRunning(order.task)) {
+      this->Report(name + " runs twice at the same time");
+    }
+  }
+  if (this->seen_successes.contains(order.task)) {
+    this->Report(name + " starts after it has succeeded");
+  }
+  if (!worker.Used().FitsIn(worker.record.total)) {
+    this->Report(worker.record.worker.value + " runs more than it has");
+  }
+  if (worker.record.draining && worker.record.remaining.count() == 0) {
+    this->Report(name + " starts on a worker that is leaving");
+  }
+  const pool::Job& job = this->submitted.at(order.task.job);
+  for (const uint32_t earlier : job.steps[order.task.step].after) {
+    for (uint32_t i = 0; i < job.steps[earlier].count; ++i) {
+      const pool::TaskName before{order.task.job, order.task.occurrence,
+                                  earlier, i};
+      if (!this->succeeded.contains(before)) {
+        this->Report(name + " starts before " + ToString(before));
+      }
+    }
+  }
+  if (this->seen_failures[order.task].size() >=
+      this->queues.queues.front().attempts) {
+    this->Report(name + " starts after its last attempt");
+  }
+  if (order.payload != job.payload) this->Report(name + " has no own payload");
+  if (!this->IsStored(order.task.job)) {
+    this->Report(name + " starts before its job is stored");
+  }
+}
+
+void PoolCell::NoteEnd(const PoolWorker& /*worker*/, const pool::TaskName& task,
+                       pool::RunNumber run, pool::RunEnd end) {
+  const pool::Step& step = this->submitted.at(task.job).steps[task.step];
+  if (end == pool::RunEnd::kSucceeded) this->succeeded.insert(task);
+  if (!step.gang || end == pool::RunEnd::kGangBroken) return;
+  const pool::RunEnd theirs = end == pool::RunEnd::kSucceeded
+                                  ? pool::RunEnd::kSucceeded
+                                  : pool::RunEnd::kGangBroken;
+  for (uint32_t i = 0; i < step.count; ++i) {
+    const pool::TaskName member{task.job, task.occurrence, task.step, i};
+    if (member == task) continue;
+    for (const auto& other : this->workers) {
+      other->EndMember(member, run, theirs);
+    }
+  }
+}
+
+void PoolCell::NoteSeen(const pool::EndedRow& row, base::Instant ended_at) {
+  const bool restarted = this->last_start[row.task] > ended_at;
+  if (row.end == pool::RunEnd::kSucceeded) {
+    this->seen_successes.insert(row.task);
+    if (restarted) {
+      this->Report(ToString(row.task) + " started after it had succeeded");
+    }
+  } else if (row.end == pool::RunEnd::kFailed) {
+    this->seen_failures[row.task].insert(row.run);
+    if (restarted && this->seen_failures[row.task].size() >=
+                         this->queues.queues.front().attempts) {
+      this->Report(ToString(row.task) + " started after its last attempt");
+    }
+  }
+}
+
+std::vector<base::ResultCode> PoolCell::Answers(const base::JobId& job) const {
+  const auto found = this->answers.find(job);
+  return found == this->answers.end() ? std::vector<base::ResultCode>()
+                                      : found->second;
+}
+
+bool PoolCell::IsStored(const base::JobId& job) const {
+  return this->store.contains(pool::JobKey(job));
+}
+
+pool::JobPhase PoolCell::StoredPhase(const base::JobId& job) const {
+  const auto found = this->store.find(pool::ProgressKey(job));
+  if (found == this->store.end()) return pool::JobPhase::kQueued;
+  return pool::DecodeProgress(found->second)->phase;
+}
+
+std::vector<base::JobId> PoolCell::UnfinishedJobs() const {
+  std::vector<base::JobId> unfinished;
+  for (const auto& [id, job] : this->submitted) {
+    if (this->IsStored(id) && !pool::IsFinal(this->StoredPhase(id))) {
+      unfinished.push_back(id);
+    }
+  }
+  return unfinished;
+}
+
+int PoolCell::Starts(const pool::TaskName& task) const {
+  const auto found = this->starts.find(task);
+  return found == this->starts.end() ? 0 : found->second;
+}
+
+}  // namespace agatepass::fakes
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -52,11 +52,11 @@
         AddSucceeded(progress.succeeded, *step, i);
         continue;
       }
-      const uint32_t failures =
-          step->definition->gang ? step->gang_failures : task.failures;
-      if (task.last_run == 0 && failures == 0) continue;
+      const std::vector<RunNumber>& failed_runs =
+          step->definition->gang ? step->failed_runs : task.failed_runs;
+      if (task.ended_run == 0 && failed_runs.empty()) continue;
       progress.tasks.push_back({step->occurrence, step->number, i,
-                                task.last_run, failures, task.saved});
+                                task.ended_run, failed_runs, task.saved});
     }
   }
   return progress;
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -75,9 +75,11 @@
   this->stopping.emplace(run.task, run.run);
 }
 
-void PoolPlanner::BreakGang(StepState& step, base::Instant now) {
+void PoolPlanner::BreakGang(StepState& step, RunNumber run, base::Instant now) {
   for (const TaskState& task : step.tasks) {
-    if (task.active != nullptr) this->RequestStop(*task.active, now);
+    if (task.active != nullptr && task.active->run == run) {
+      this->RequestStop(*task.active, now);
+    }
   }
 }
 
@@ -100,6 +102,7 @@
     JobState& job = *step->job;
     TaskState& task = step->tasks[row.task.index];
     task.last_run = std::max(task.last_run, row.run);
+    task.ended_run = std::max(task.ended_run, row.run);
     if (job.IsOpen() && !task.succeeded) {
       if (!row.saved.empty()) task.saved = row.saved;
       this->MarkChanged(job);
@@ -109,7 +112,7 @@
       } else if (row.end == RunEnd::kFailed) {
         this->HandleFailure(worker, *step, row, time);
       } else if (step->definition->gang) {
-        this->BreakGang(*step, time.now);
+        this->BreakGang(*step, row.run, time.now);
       }
     }
     unstored.changes = job.changes;
@@ -146,16 +149,15 @@
   ++this->totals.failures;
   TaskState& task = step.tasks[row.task.index];
   task.failed_on = worker.record.worker;
-  uint32_t failures = 0;
-  if (step.definition->gang) {
-    if (row.run > step.failed_run) {
-      step.failed_run = row.run;
-      ++step.gang_failures;
-    }
-    failures = step.gang_failures;
-    this->BreakGang(step, time.now);
-  } else {
-    failures = ++task.failures;
+  if (step.definition->gang) this->BreakGang(step, row.run, time.now);
+  std::vector<RunNumber>& failed_runs =
+      step.definition->gang ? step.failed_runs : task.failed_runs;
+  // An end that an earlier planner handled may be listed once more, and the
+  // ends of earlier runs may come after those of later ones.
+  const bool counted = std::find(failed_runs.begin(), failed_runs.end(),
+                                 row.run) != failed_runs.end();
+  if (!counted && !step.definition->long_running) {
+    failed_runs.push_back(row.run);
   }
   if (++worker.failures_in_row >= this->options.failures_to_shun) {
     worker.shunned_until = time.now + this->options.failing_shun_time;
@@ -164,7 +166,7 @@
                   worker.record.worker.value);
   }
   if (step.definition->long_running) return;
-  if (failures >= step.job->attempts) {
+  if (failed_runs.size() >= step.job->attempts) {
     this->FinishJob(*step.job, JobPhase::kFailed, time);
   }
 }
@@ -173,10 +175,11 @@
                                  const PlannerTime& time) {
   StepState* step = run.step;
   const uint32_t index = run.task.index;
+  const RunNumber number = run.run;
   this->ReleaseRun(run);
   if (step == nullptr || !step->job->IsOpen()) return;
   step->tasks[index].not_before = not_before + kRestartDelay;
-  if (step->definition->gang) this->BreakGang(*step, time.now);
+  if (step->definition->gang) this->BreakGang(*step, number, time.now);
 }
 
 void PoolPlanner::FinishJob(JobState& job, JobPhase phase,
@@ -230,7 +233,7 @@
     // The stop makes the worker reject the start should it still come.
     this->RequestStop(*run, time.now);
     if (run->step != nullptr && run->step->definition->gang) {
-      this->BreakGang(*run->step, time.now);
+      this->BreakGang(*run->step, number, time.now);
     }
     return;
   }
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -14,6 +14,19 @@
 /** Prefix of labels that name a rack; other labels name the kind. */
 constexpr char kRackPrefix = 'r';
 
+/** An entry that vanishes within this time of the worker's last answer did not
+ * lapse for want of heartbeats: the store waits longer for those. */
+constexpr base::Duration kAnsweredLately = std::chrono::seconds(3);
+
+/** Whether a worker that was leaving is gone: its entry was removed while it
+ * still answered, and nobody listens at its address since. */
+bool HasLeft(const WorkerState& worker, WorkerVerdict verdict) {
+  return worker.record.draining && !worker.listed &&
+         verdict == WorkerVerdict::kNotSent &&
+         worker.review_sent > worker.unlisted_at &&
+         worker.unlisted_at - worker.last_answer < kAnsweredLately;
+}
+
 /** Returns the label that names the rack: "r", digits, "-", digits. */
 base::RackId RackOf(const WorkerRecord& record) {
   for (const std::string& label : record.labels) {
@@ -58,6 +71,7 @@
   const auto found = this->workers.find(id);
   if (found == this->workers.end()) return;
   found->second->listed = false;
+  found->second->unlisted_at = time.now;
   this->log.Add(time.now, "worker unlisted", "worker={} runs={}", id.value,
                 found->second->runs.size());
 }
@@ -89,7 +103,11 @@
                     .endpoint = worker.record.endpoint,
                     .fence = this->options.fence,
                     .forget_up_to = worker.stored_ends};
-  order.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
+  // A worker that does not answer gets no longer lease, so that the time by
+  // which its runs must have ended comes.
+  if (worker.silent_calls == 0) {
+    order.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
+  }
   // Ends that are listed already would make the worker answer at once.
   const bool waits =
       worker.reviewed && worker.unstored.empty() && worker.silent_calls == 0;
@@ -168,6 +186,10 @@
   if (reply.verdict != WorkerVerdict::kDone) {
     this->NoteSilence(worker, time);
     worker.next_review = time.now + this->options.review_retry;
+    if (HasLeft(worker, reply.verdict)) {
+      this->LoseRuns(worker, "it drained and left", time);
+      worker.lapses_at = {};
+    }
     return;
   }
   if (reply.born_ms != 0 && worker.record.born_ms != 0 &&
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -104,12 +104,13 @@
           this->FindStep({entry.job.id, row.occurrence, row.step, row.index});
       if (step == nullptr) continue;
       TaskState& task = step->tasks[row.index];
-      task.last_run = row.last_run;
-      task.failures = row.failures;
+      task.last_run = row.ended_run;
+      task.ended_run = row.ended_run;
       task.saved = row.saved;
       if (step->definition->gang) {
-        step->gang_failures = std::max(step->gang_failures, row.failures);
-        step->failed_run = std::max(step->failed_run, row.last_run);
+        step->failed_runs = row.failed_runs;
+      } else {
+        task.failed_runs = row.failed_runs;
       }
     }
     job.phase = entry.progress->phase;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -213,7 +213,7 @@
   RunState* FindRun(const TaskName& task, RunNumber run);
   void ReleaseRun(RunState& run);
   void RequestStop(RunState& run, base::Instant at);
-  void BreakGang(StepState& step, base::Instant now);
+  void BreakGang(StepState& step, RunNumber run, base::Instant now);
   void HandleEnd(WorkerState& worker, const EndedRow& row,
                  const PlannerTime& time);
   void HandleSuccess(StepState& step, uint32_t index, const PlannerTime& time);
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -63,7 +63,10 @@
   bool succeeded = false;
   /** Highest run ordered or seen. */
   RunNumber last_run = 0;
-  uint32_t failures = 0;
+  /** Highest run that has ended. */
+  RunNumber ended_run = 0;
+  /** Runs that have failed, in the order in which this became known. */
+  std::vector<RunNumber> failed_runs;
   std::string saved;
   RunState* active = nullptr;
   /** Worker of the latest failure, avoided by the next run. */
@@ -110,9 +113,8 @@
   base::Instant reserved_until;
   /** Of a gang: whether the members of the present run are told to stop. */
   bool breaking = false;
-  /** Of a gang: failed runs of the whole, and the latest one counted. */
-  uint32_t gang_failures = 0;
-  RunNumber failed_run = 0;
+  /** Of a gang: runs of the whole that have failed. */
+  std::vector<RunNumber> failed_runs;
 
   bool IsDone() const { return this->succeeded == this->tasks.size(); }
 };
@@ -161,6 +163,7 @@
   base::RackId rack;
   /** Whether the store lists it. */
   bool listed = false;
+  base::Instant unlisted_at;
   /** Whether the store holds it among the workers that may have runs. */
   bool noted = false;
   /** Whether its lists have been read under the present fence. */
--- a/src/agatepass/pool/record_codec.cpp
+++ b/src/agatepass/pool/record_codec.cpp
@@ -125,7 +125,7 @@
   }
   for (const TaskProgress& task : progress.tasks) {
     out["tasks"].push_back({task.occurrence, task.step, task.index,
-                            task.last_run, task.failures, task.saved});
+                            task.ended_run, task.failed_runs, task.saved});
   }
   return out.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -151,7 +151,8 @@
       progress.tasks.push_back(
           {row.at(0).get<uint32_t>(), row.at(1).get<uint32_t>(),
            row.at(2).get<uint32_t>(), row.at(3).get<RunNumber>(),
-           row.at(4).get<uint32_t>(), row.at(5).get<std::string>()});
+           row.at(4).get<std::vector<RunNumber>>(),
+           row.at(5).get<std::string>()});
     }
     return progress;
   } catch (const Json::exception& error) {
--- a/src/agatepass/pool/record_codec.h
+++ b/src/agatepass/pool/record_codec.h
@@ -34,9 +34,10 @@
   uint32_t occurrence = 0;
   uint32_t step = 0;
   uint32_t index = 0;
-  /** Highest run known to have ended. */
-  RunNumber last_run = 0;
-  uint32_t failures = 0;
+  /** Highest run that has ended. */
+  RunNumber ended_run = 0;
+  /** Runs of the task, or of its gang, that have failed, each once. */
+  std::vector<RunNumber> failed_runs;
   std::string saved;
 
   bool operator==(const TaskProgress&) const = default;
--- /dev/null
+++ b/src/agatepass/pool/tests/admission_test.cpp
@@ -0,0 +1,44 @@
+// Bursts: what cannot end in time behind accepted work is rejected at once.
+#include "agatepass/pool/admission.h"
+
+#include "fakes/pool_cell.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using std::chrono::seconds;
+
+const Queue kQueue{.name = "letters", .stretch = 3, .slack = seconds(2)};
+
+Job Letter() { return fakes::MakePoolJob("a", 4, 1000, seconds(4)); }
+
+TEST(Admission, TakesWhatMeetsItsObjective) {
+  const PoolLoad load{.usable_millicores = 10'000, .work_beside = 20'000};
+  EXPECT_EQ(RetryAfterOverload(load, Letter(), kQueue), std::nullopt);
+}
+
+TEST(Admission, RejectsBehindTooMuchWorkAndSaysWhenToComeBack) {
+  const PoolLoad load{.usable_millicores = 10'000, .work_beside = 200'000};
+  const auto wait = RetryAfterOverload(load, Letter(), kQueue);
+  ASSERT_TRUE(wait);
+  EXPECT_GT(*wait, seconds(10));
+  EXPECT_LT(*wait, seconds(20));
+}
+
+TEST(Admission, WorkThatComesFirstCountsToo) {
+  const PoolLoad load{.usable_millicores = 10'000, .work_before = 200'000};
+  EXPECT_TRUE(RetryAfterOverload(load, Letter(), kQueue));
+}
+
+TEST(Admission, TakesALargeJobWhenNothingWaits) {
+  const PoolLoad load{.usable_millicores = 100};
+  EXPECT_EQ(RetryAfterOverload(load, Letter(), kQueue), std::nullopt);
+}
+
+TEST(Admission, TakesWorkBeforeTheFirstWorkerIsKnown) {
+  EXPECT_EQ(RetryAfterOverload({}, Letter(), kQueue), std::nullopt);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/tests/election_test.cpp
@@ -0,0 +1,97 @@
+// Who plans: the holder of the leased key.
+#include "agatepass/pool/election.h"
+
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using platform::Outcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const PlannerEntry kSelf{base::HostId("a"), {"10.0.0.1", 7000}, "1"};
+const PlannerEntry kOther{base::HostId("b"), {"10.0.0.2", 7000}, "1"};
+
+class ElectionTest : public testing::Test {
+ protected:
+  void TakeOffice() {
+    this->election.OnPlannerSeen(std::nullopt, 0, this->now);
+    ASSERT_EQ(this->election.Next(this->now), ElectionStep::kGrantLease);
+    this->election.OnLeaseGranted(Outcome::kDone, 5, this->now);
+    ASSERT_EQ(this->election.Next(this->now), ElectionStep::kCreateKey);
+    this->election.OnKeyCreated(Outcome::kDone, 12, this->now);
+  }
+
+  base::Instant now{seconds(10)};
+  Election election{{.self = kSelf}};
+};
+
+TEST_F(ElectionTest, TheRevisionOfTheKeyIsTheFence) {
+  this->TakeOffice();
+  EXPECT_TRUE(this->election.in_office());
+  EXPECT_EQ(this->election.term(), 12U);
+}
+
+TEST_F(ElectionTest, DoesNotStandWhileAPlannerIsSeen) {
+  this->election.OnPlannerSeen(kOther, 7, this->now);
+  EXPECT_EQ(this->election.Next(this->now + seconds(5)),
+            ElectionStep::kNothing);
+}
+
+TEST_F(ElectionTest, ACreateWithoutAnAnswerIsReadBack) {
+  this->election.OnPlannerSeen(std::nullopt, 0, this->now);
+  this->election.Next(this->now);
+  this->election.OnLeaseGranted(Outcome::kDone, 5, this->now);
+  this->election.Next(this->now);
+  this->election.OnKeyCreated(Outcome::kUnknown, 0, this->now);
+  EXPECT_FALSE(this->election.in_office());
+  this->now += seconds(1);
+  ASSERT_EQ(this->election.Next(this->now), ElectionStep::kReadKey);
+  this->election.OnKeyRead(Outcome::kDone, kSelf, 14, this->now);
+  EXPECT_EQ(this->election.term(), 14U);
+}
+
+TEST_F(ElectionTest, AnUnansweredCreateThatWasNotDoneEndsItsLease) {
+  this->election.OnPlannerSeen(std::nullopt, 0, this->now);
+  this->election.Next(this->now);
+  this->election.OnLeaseGranted(Outcome::kDone, 5, this->now);
+  this->election.Next(this->now);
+  this->election.OnKeyCreated(Outcome::kUnknown, 0, this->now);
+  this->now += seconds(1);
+  this->election.Next(this->now);
+  this->election.OnKeyRead(Outcome::kDone, kOther, 14, this->now);
+  EXPECT_EQ(this->election.Next(this->now), ElectionStep::kEndLease);
+  EXPECT_FALSE(this->election.in_office());
+}
+
+TEST_F(ElectionTest, AnEndedLeaseEndsTheTerm) {
+  this->TakeOffice();
+  this->now += seconds(1);
+  ASSERT_EQ(this->election.Next(this->now), ElectionStep::kRenewLease);
+  this->election.OnLeaseRenewed(Outcome::kRefused, this->now);
+  EXPECT_FALSE(this->election.in_office());
+}
+
+TEST_F(ElectionTest, AStoreThatDoesNotAnswerLeavesTheTermAsItIs) {
+  this->TakeOffice();
+  this->now += seconds(1);
+  this->election.Next(this->now);
+  this->election.OnLeaseRenewed(Outcome::kUnknown, this->now);
+  EXPECT_TRUE(this->election.in_office());
+}
+
+TEST_F(ElectionTest, AnotherPlannersKeyEndsTheTerm) {
+  this->TakeOffice();
+  this->election.OnPlannerSeen(kOther, 20, this->now);
+  EXPECT_FALSE(this->election.in_office());
+  EXPECT_EQ(this->election.Next(this->now), ElectionStep::kEndLease);
+}
+
+TEST_F(ElectionTest, EntriesSurviveTheStore) {
+  EXPECT_EQ(DecodePlannerEntry(EncodePlannerEntry(kSelf)), kSelf);
+  EXPECT_EQ(DecodePlannerEntry("a b c"), std::nullopt);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/tests/record_codec_test.cpp
@@ -0,0 +1,85 @@
+// Jobs and progress survive the store whole.
+#include "agatepass/pool/record_codec.h"
+
+#include "agatepass/pool/peer_call.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+Job FullJob() {
+  Job job{.id = base::JobId("5c0e"),
+          .queue = "r-1",
+          .payload = "text \"with\" quotes",
+          .occurrences = 3,
+          .first_due_ms = 17,
+          .interval_ms = 19,
+          .accepted_ms = 23};
+  job.steps.push_back({.count = 4,
+                       .need = {1000, 2000, 3},
+                       .estimate = std::chrono::milliseconds(900),
+                       .checkpoint = true,
+                       .gang = true,
+                       .same_rack = true,
+                       .speculative = true,
+                       .long_running = true,
+                       .uses_idle_processors = true,
+                       .required_label = "a",
+                       .data_rack = base::RackId("r1-3"),
+                       .most_per_worker = 2,
+                       .image = "i",
+                       .latency_target = std::chrono::milliseconds(30),
+                       .most_unavailable = 1});
+  job.steps.push_back({.count = 1, .after = {0}});
+  return job;
+}
+
+TEST(RecordCodec, AJobSurvives) {
+  const absl::StatusOr<Job> decoded = DecodeJob(EncodeJob(FullJob()));
+  ASSERT_TRUE(decoded.ok()) << decoded.status();
+  EXPECT_EQ(*decoded, FullJob());
+}
+
+TEST(RecordCodec, ProgressSurvives) {
+  const JobProgress progress{.phase = JobPhase::kFailed,
+                             .final_ms = 99,
+                             .succeeded = {{0, 1, 2, 5}},
+                             .tasks = {{0, 1, 7, 3, {1, 3}, "saved"}}};
+  const absl::StatusOr<JobProgress> decoded =
+      DecodeProgress(EncodeProgress(progress));
+  ASSERT_TRUE(decoded.ok()) << decoded.status();
+  EXPECT_EQ(*decoded, progress);
+}
+
+TEST(RecordCodec, RejectsWhatIsMalformed) {
+  EXPECT_FALSE(DecodeJob("{").ok());
+  EXPECT_FALSE(DecodeJob("[]").ok());
+  EXPECT_FALSE(DecodeProgress(R"({"phase":"odd"})").ok());
+}
+
+TEST(RecordCodec, ASubmissionSurvivesTheWayToThePlanner) {
+  const auto call = DecodePeerCall(EncodePeerCall(
+      {.verb = PeerVerb::kSubmit, .submission = FullJob(), .version = 7}));
+  ASSERT_TRUE(call);
+  EXPECT_EQ(call->submission, FullJob());
+  EXPECT_EQ(call->version, 7U);
+}
+
+TEST(RecordCodec, AnAnswerSurvivesTheWayBack) {
+  const auto answer = DecodeCallerAnswer(
+      EncodeCallerAnswer({.code = base::ResultCode::kOverloaded,
+                          .phase = JobPhase::kRunning,
+                          .pending = 4,
+                          .retry_after = std::chrono::seconds(3),
+                          .detail = "why"}));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->code, base::ResultCode::kOverloaded);
+  EXPECT_EQ(answer->phase, JobPhase::kRunning);
+  EXPECT_EQ(answer->pending, 4U);
+  EXPECT_EQ(answer->retry_after, std::chrono::seconds(3));
+  EXPECT_EQ(answer->detail, "why");
+  EXPECT_FALSE(DecodeCallerAnswer({.status = 200, .body = "{}"}));
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/tests/silent_worker_test.cpp
@@ -0,0 +1,64 @@
+// Workers that stop answering: their runs count until their lease has lapsed.
+#include "fakes/pool_cell.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using fakes::MakePoolJob;
+using fakes::PoolCell;
+using std::chrono::seconds;
+
+TEST(SilentWorker, ItsTasksRunElsewhereOnceItsLeaseHasLapsed) {
+  PoolCell cell(1, 2);
+  cell.Submit(MakePoolJob("a", 2, 5000, seconds(3)));
+  cell.RunFor(seconds(1));
+  cell.faults.cut_off.insert(base::WorkerId("w0"));
+  cell.RunFor(seconds(2));
+  const TaskName task{base::JobId("a"), 0, 0, 0};
+  EXPECT_EQ(cell.Starts(task), 1) << "its lease may still hold";
+  cell.RunFor(seconds(18));
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
+TEST(SilentWorker, GoesOnWithItsWorkAfterAShortCut) {
+  PoolCell cell(1, 2);
+  cell.Submit(MakePoolJob("a", 2, 5000, seconds(6)));
+  cell.RunFor(seconds(1));
+  cell.faults.cut_off.insert(base::WorkerId("w0"));
+  cell.RunFor(seconds(4));
+  cell.faults.cut_off.clear();
+  cell.RunFor(seconds(10));
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.Starts({base::JobId("a"), 0, 0, 0}), 1);
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
+TEST(SilentWorker, AGangWhoseMemberLeavesStartsAgain) {
+  PoolCell cell(1, 3);
+  Job job = MakePoolJob("a", 2, 5000, seconds(4));
+  job.steps[0].gang = true;
+  cell.Submit(job);
+  cell.RunFor(seconds(1));
+  size_t busy = 0;
+  while (cell.worker(busy).Running().empty()) ++busy;
+  cell.DrainWorker(busy, seconds(1));
+  cell.RunFor(seconds(25));
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
+TEST(SilentWorker, AnotherLifeUnderTheSameIdHasLostItsRuns) {
+  PoolCell cell(1, 1);
+  cell.Submit(MakePoolJob("a", 1, 5000, seconds(3)));
+  cell.RunFor(seconds(1));
+  cell.CrashWorker(0);
+  cell.RunFor(seconds(6));
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.Starts({base::JobId("a"), 0, 0, 0}), 2);
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/tests/submit_test.cpp
@@ -0,0 +1,93 @@
+// Accepting jobs: only what is stored is accepted, and what is rejected never
+// runs.
+#include "fakes/pool_cell.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using base::ResultCode;
+using fakes::MakePoolJob;
+using fakes::PoolCell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::JobId kJob("a");
+
+TEST(Submit, AcceptsTheSameJobTwiceAndRunsItOnce) {
+  PoolCell cell(1, 1);
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  cell.RunFor(seconds(3));
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  cell.RunFor(seconds(3));
+  EXPECT_EQ(cell.Answers(kJob),
+            (std::vector{ResultCode::kAccepted, ResultCode::kAccepted}));
+  EXPECT_EQ(cell.Starts({kJob, 0, 0, 0}), 1);
+}
+
+TEST(Submit, RejectsAtOnceWhatTheStoreDidNotTake) {
+  PoolCell cell(1, 1);
+  cell.faults.store_down = true;
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  cell.RunFor(milliseconds(200));
+  EXPECT_EQ(cell.Answers(kJob), std::vector{ResultCode::kStoreUnreachable});
+  cell.faults.store_down = false;
+  cell.RunFor(seconds(5));
+  EXPECT_EQ(cell.Starts({kJob, 0, 0, 0}), 0);
+  EXPECT_FALSE(cell.IsStored(kJob));
+}
+
+TEST(Submit, NeverRejectsWhatMayHaveBeenStored) {
+  PoolCell cell(1, 1);
+  cell.faults.lost_commits = 1;
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  cell.RunFor(milliseconds(1000));
+  cell.faults.lost_commits = 0;
+  cell.RunFor(seconds(10));
+  EXPECT_EQ(cell.Answers(kJob), std::vector{ResultCode::kAccepted});
+  EXPECT_EQ(cell.StoredPhase(kJob), JobPhase::kSucceeded);
+}
+
+TEST(Submit, RejectsATaskThatIsLargerThanEveryWorker) {
+  PoolCell cell(1, 2);
+  cell.RunFor(seconds(1));
+  cell.Submit(MakePoolJob("a", 1, 9000, seconds(1)));
+  cell.RunFor(milliseconds(100));
+  EXPECT_EQ(cell.Answers(kJob), std::vector{ResultCode::kCanNeverRun});
+}
+
+TEST(Submit, ACancelledJobIsNotStartedAgain) {
+  PoolCell cell(1, 1);
+  cell.Submit(MakePoolJob("a", 4, 4000, seconds(2)));
+  cell.RunFor(seconds(1));
+  cell.Cancel(kJob);
+  cell.RunFor(seconds(8));
+  EXPECT_EQ(cell.StoredPhase(kJob), JobPhase::kCancelled);
+  EXPECT_EQ(cell.Starts({kJob, 0, 0, 3}), 0);
+  EXPECT_TRUE(cell.worker(0).Running().empty());
+}
+
+TEST(Submit, AHopelessJobFailsAfterItsAttempts) {
+  PoolCell cell(1, 3);
+  Job job = MakePoolJob("a", 1, 1000, milliseconds(200));
+  job.payload = "poison";
+  cell.Submit(job);
+  cell.RunFor(seconds(5));
+  EXPECT_EQ(cell.StoredPhase(kJob), JobPhase::kFailed);
+  EXPECT_EQ(cell.Starts({kJob, 0, 0, 0}), 3);
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+}
+
+TEST(Submit, StepsRunInTheirOrder) {
+  PoolCell cell(1, 2);
+  Job job = MakePoolJob("a", 3, 2000, seconds(1));
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].after = {0};
+  cell.Submit(job);
+  cell.RunFor(seconds(5));
+  EXPECT_EQ(cell.StoredPhase(kJob), JobPhase::kSucceeded);
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -0,0 +1,140 @@
+// What a planner makes of the runs and ends that earlier planners left.
+#include "fakes/pool_cell.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using fakes::MakePoolJob;
+using fakes::PoolCell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A planner of its own, whose effects are looked at one by one. */
+class Takeover : public testing::Test {
+ protected:
+  static constexpr int64_t kWallMs = 1'700'000'000'000;
+
+  void Load(const Job& job, const JobProgress& progress) {
+    this->planner.SetQueues(this->queues, this->time);
+    const std::vector<StoredJob> jobs = {{job, progress}};
+    const std::vector<base::WorkerId> noted = {base::WorkerId("w0"),
+                                               base::WorkerId("w1")};
+    this->planner.Load(jobs, noted, this->time);
+    for (const base::WorkerId& worker : noted) {
+      this->planner.OnWorker({.worker = worker,
+                              .service = base::ServiceId("desk"),
+                              .total = {.millicores = 8000, .memory_mib = 8000},
+                              .born_ms = 1},
+                             this->time);
+    }
+  }
+
+  /** Answers the first review of a worker with ends. */
+  void Review(const std::string& worker, std::vector<EndedRow> ended) {
+    this->planner.OnReview(base::WorkerId(worker),
+                           {.verdict = WorkerVerdict::kDone,
+                            .worker_clock_ms = 1000,
+                            .born_ms = 1,
+                            .ended = std::move(ended)},
+                           this->time);
+  }
+
+  /** Confirms all commits and returns the other effects. */
+  std::vector<Effect> Settle() {
+    std::vector<Effect> others;
+    for (int i = 0; i < 20; ++i) {
+      this->time.now += milliseconds(30);
+      for (Effect& effect : this->planner.Advance(this->time)) {
+        if (const auto* commit = std::get_if<StoreCommit>(&effect)) {
+          this->planner.OnCommit(
+              commit->id, {.outcome = platform::Outcome::kDone}, this->time);
+        } else {
+          others.push_back(std::move(effect));
+        }
+      }
+    }
+    return others;
+  }
+
+  static size_t CountStarts(const std::vector<Effect>& effects) {
+    size_t count = 0;
+    for (const Effect& effect : effects) {
+      count += std::holds_alternative<StartOrder>(effect) ? 1 : 0;
+    }
+    return count;
+  }
+
+  QueueTable queues{.version = 1,
+                    .queues = {{.name = "letters",
+                                .prefix = "/",
+                                .service = base::ServiceId("desk"),
+                                .priority = 1,
+                                .attempts = 4,
+                                .stretch = 4,
+                                .slack = seconds(10)}}};
+  timeline::DecisionLog log{"test"};
+  PlannerTime time{base::Instant(seconds(100)), kWallMs};
+  PoolPlanner planner{{.fence = 9}, this->log, this->time};
+  const TaskName task{base::JobId("a"), 0, 0, 0};
+};
+
+TEST_F(Takeover, CountsAnEndThatIsListedOnceMoreOnlyOnce) {
+  JobProgress progress{.phase = JobPhase::kRunning};
+  progress.tasks.push_back({.ended_run = 3, .failed_runs = {1, 2, 3}});
+  this->Load(MakePoolJob("a", 1, 1000, seconds(1)), progress);
+  this->Review("w0", {{1, this->task, 3, RunEnd::kFailed, ""}});
+  this->Review("w1", {});
+  // Three of four attempts have failed: the fourth is due.
+  EXPECT_EQ(CountStarts(this->Settle()), 1U);
+}
+
+TEST_F(Takeover, CountsFailuresThatBecomeKnownOutOfOrder) {
+  this->Load(MakePoolJob("a", 1, 1000, seconds(1)),
+             {.phase = JobPhase::kRunning});
+  this->Review("w0", {{1, this->task, 2, RunEnd::kFailed, ""},
+                      {2, this->task, 4, RunEnd::kFailed, ""}});
+  this->Review("w1", {{1, this->task, 1, RunEnd::kFailed, ""},
+                      {2, this->task, 3, RunEnd::kFailed, ""}});
+  EXPECT_EQ(CountStarts(this->Settle()), 0U);
+  EXPECT_EQ(this->planner.open_jobs(), 0U);
+}
+
+TEST_F(Takeover, StartsNothingInheritedBeforeAllWorkersAreRead) {
+  this->Load(MakePoolJob("a", 1, 1000, seconds(1)),
+             {.phase = JobPhase::kRunning});
+  this->Review("w0", {});
+  EXPECT_EQ(CountStarts(this->Settle()), 0U);
+  this->Review("w1", {});
+  EXPECT_EQ(CountStarts(this->Settle()), 1U);
+}
+
+TEST_F(Takeover, KeepsAGangsFailuresApartFromItsMembersRuns) {
+  Job job = MakePoolJob("a", 2, 1000, seconds(1));
+  job.steps[0].gang = true;
+  this->queues.queues[0].attempts = 2;
+  JobProgress progress{.phase = JobPhase::kRunning};
+  // Run 1 of the gang failed and was counted; one member's end comes again.
+  progress.tasks.push_back({.index = 0, .ended_run = 1, .failed_runs = {1}});
+  progress.tasks.push_back({.index = 1, .ended_run = 1, .failed_runs = {1}});
+  this->Load(job, progress);
+  this->Review("w0", {{1, this->task, 1, RunEnd::kFailed, ""}});
+  this->Review("w1", {});
+  EXPECT_EQ(CountStarts(this->Settle()), 2U);
+}
+
+TEST(TakeoverInTheCell, AdoptsWhatRunsAndRunsNothingTwice) {
+  PoolCell cell(1, 3);
+  for (int i = 0; i < 6; ++i) {
+    cell.Submit(MakePoolJob(std::to_string(i), 3, 1000, seconds(2)));
+  }
+  cell.RunFor(seconds(1));
+  cell.KillPlanner(seconds(2));
+  cell.RunFor(seconds(20));
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.UnfinishedJobs(), std::vector<base::JobId>());
+  EXPECT_EQ(cell.Starts({base::JobId("0"), 0, 0, 0}), 1);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- /dev/null
+++ b/tests/faults/pool_seeds_test.cpp
@@ -0,0 +1,113 @@
+// Random faults against the real planner in a cell in virtual time. Each seed
+// draws jobs and a series of faults that may overlap; what must always hold is
+// checked at every start, and in the end every accepted job has ended.
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fakes/pool_cell.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr size_t kWorkers = 4;
+constexpr int kSteps = 40;
+constexpr int kFaultKinds = 11;
+
+/** Draws whole numbers below `bound`. */
+class Draw {
+ public:
+  explicit Draw(uint64_t seed) : random(seed) {}
+  int operator()(int bound) {
+    return std::uniform_int_distribution<int>(0, bound - 1)(this->random);
+  }
+
+ private:
+  std::mt19937_64 random;
+};
+
+pool::Job DrawJob(int number, Draw& draw) {
+  pool::Job job =
+      MakePoolJob("j" + std::to_string(number), 1 + draw(4),
+                  500 * (1 + draw(6)), milliseconds(200 + draw(3000)));
+  if (draw(5) == 0) job.steps[0].gang = true;
+  if (draw(4) == 0) {
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = {0};
+  }
+  if (draw(15) == 0) job.payload = "poison";
+  return job;
+}
+
+void DrawFault(PoolCell& cell, Draw& draw) {
+  switch (draw(kFaultKinds)) {
+    case 0:
+      cell.KillPlanner(milliseconds(100 + draw(4000)));
+      break;
+    case 1:
+      cell.ReplacePlanner();
+      break;
+    case 2:
+      cell.CrashWorker(draw(kWorkers));
+      break;
+    case 3:
+      cell.faults.late_orders = 0.2;
+      break;
+    case 4:
+      cell.faults.lost_commits = 0.3;
+      break;
+    case 5:
+      cell.faults.store_down = true;
+      break;
+    case 6:
+      cell.faults.cut_off.insert(cell.worker(draw(kWorkers)).record.worker);
+      break;
+    case 7:
+      cell.faults.failing_runs = 0.3;
+      break;
+    case 8:
+      cell.Cancel(base::JobId("j" + std::to_string(draw(kSteps))));
+      break;
+    default:
+      cell.faults = {};
+      break;
+  }
+}
+
+class PoolSeeds : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(PoolSeeds, NothingIsBrokenAndAllEnds) {
+  constexpr uint64_t kSeedsPerCase = 50;
+  for (uint64_t i = 0; i < kSeedsPerCase; ++i) {
+    const uint64_t seed = GetParam() * kSeedsPerCase + i;
+    Draw draw(seed);
+    PoolCell cell(seed, kWorkers);
+    if (draw(2) == 0) {
+      cell.queues.queues[0].advice =
+          pool::AdvicePolicy{.decide = milliseconds(20), .valid = seconds(2)};
+      cell.ReplacePlanner();
+    }
+    for (int step = 0; step < kSteps; ++step) {
+      if (draw(2) == 0) cell.Submit(DrawJob(step, draw));
+      if (draw(3) == 0) DrawFault(cell, draw);
+      cell.RunFor(milliseconds(50 + draw(600)));
+    }
+    cell.faults = {};
+    cell.RunFor(seconds(90));
+    ASSERT_EQ(cell.violations(), std::vector<std::string>())
+        << "seed " << seed << '\n'
+        << cell.TakeLog();
+    ASSERT_EQ(cell.UnfinishedJobs(), std::vector<base::JobId>())
+        << "seed " << seed << '\n'
+        << cell.TakeLog();
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Random, PoolSeeds, testing::Range<uint64_t>(0, 40));
+
+}  // namespace
+}  // namespace agatepass::fakes
