--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -126,6 +126,7 @@
   void CheckStart(const PoolWorker& worker, const pool::StartOrder& order);
   void NoteEnd(const PoolWorker& worker, const pool::TaskName& task,
                pool::RunNumber run, pool::RunEnd end);
+  bool IsWhole(const pool::TaskName& task, pool::RunNumber run) const;
   void NoteSeen(const pool::EndedRow& row, base::Instant ended_at);
   void Report(const std::string& violation);
 
@@ -136,8 +137,17 @@
   std::vector<std::unique_ptr<Planner>> planners;
   std::vector<std::unique_ptr<PoolWorker>> workers;
   std::set<base::WorkerId> unlisted;
+  /** Workers that crashed and are not back yet. */
+  std::set<base::WorkerId> down;
   std::vector<WaitingReview> reviews;
-  std::map<std::string, std::string> store;
+  /** A key's value and the revision of its latest change. */
+  struct Stored {
+    std::string value;
+    platform::Revision revision = 0;
+  };
+
+  std::map<std::string, Stored> store;
+  platform::Revision revision = 0;
   pool::Fence office = 0;
   pool::Fence last_fence = 0;
   pool::CallId next_call = 1;
@@ -148,7 +158,8 @@
   std::map<pool::TaskName, base::Instant> last_start;
   std::set<pool::TaskName> succeeded;
   /** Ends that a planner took note of. */
-  std::map<pool::TaskName, std::set<pool::RunNumber>> seen_failures;
+  std::map<pool::TaskName, std::map<pool::RunNumber, base::Instant>>
+      seen_failures;
   std::set<pool::TaskName> seen_successes;
   std::vector<std::string> found;
   std::string lines;
--- a/fakes/pool_worker.cpp
+++ b/fakes/pool_worker.cpp
@@ -114,8 +114,12 @@
     } else if (run.stops && now >= *run.stops) {
       due.emplace_back(task, pool::RunEnd::kStopped);
     } else if (now >= run.ends && !run.stops) {
-      due.emplace_back(task, run.plan.fails ? pool::RunEnd::kFailed
-                                            : pool::RunEnd::kSucceeded);
+      pool::RunEnd end = pool::RunEnd::kSucceeded;
+      if (run.plan.fails) end = pool::RunEnd::kFailed;
+      if (!this->observer.whole(task, run.number)) {
+        end = pool::RunEnd::kGangIncomplete;
+      }
+      due.emplace_back(task, end);
     }
   }
   for (const auto& [task, end] : due) {
--- a/fakes/pool_worker.h
+++ b/fakes/pool_worker.h
@@ -33,6 +33,8 @@
   /** Told about what the checker has to judge. */
   struct Observer {
     std::function<RunPlan(const pool::TaskName&, pool::RunNumber)> plan;
+    /** Whether all members of the task's gang are at work. */
+    std::function<bool(const pool::TaskName&, pool::RunNumber)> whole;
     std::function<void(const PoolWorker&, const pool::StartOrder&)> on_start;
     std::function<void(const PoolWorker&, const pool::TaskName&,
                        pool::RunNumber, pool::RunEnd)>
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -194,8 +194,9 @@
 struct StoreWrite {
   std::string key;
   std::optional<std::string> value;
-  /** Whether the key must not exist yet. */
-  bool create = false;
+  /** Revision that the key must have, 0 for none: a commit without an answer
+   * may be done seconds later and must not undo newer ones. */
+  std::optional<platform::Revision> expected;
 };
 
 /** Writes that take effect all or none, while this planner is in office. */
@@ -203,21 +204,31 @@
   uint64_t id = 0;
   std::vector<StoreWrite> writes;
 
-  /** Entries that the store counts: a created key is also a condition. */
+  /** Entries that the store counts: an expected revision is one too. */
   size_t Entries() const {
     size_t entries = this->writes.size();
-    for (const StoreWrite& write : this->writes) entries += write.create;
+    for (const StoreWrite& write : this->writes) {
+      if (write.expected) ++entries;
+    }
     return entries;
   }
 };
 
+/** The revision that a key has; 0 if it does not exist. */
+struct KeyRevision {
+  std::string key;
+  platform::Revision revision = 0;
+};
+
 /** How a StoreCommit ended. */
 struct CommitReply {
   platform::Outcome outcome = platform::Outcome::kUnknown;
   /** Refused since another planner is in office. */
   bool lost_office = false;
-  /** Refused since these keys, to be created, exist. */
-  std::vector<std::string> existing;
+  /** Done: the revision of all keys written. */
+  platform::Revision revision = 0;
+  /** Refused: the keys whose revisions were expected, as they are. */
+  std::vector<KeyRevision> current;
 };
 
 /** Check in the store whether a job unknown to this planner exists. */
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -15,8 +15,8 @@
 /** Jobs removed at a time, so that removals stay behind other writes. */
 constexpr size_t kMostRemovals = 15;
 
-/** A job may be created, which is a condition and a write, and progress. */
-constexpr size_t kMostEntriesPerJob = 3;
+/** A job's definition and progress, each with its expected revision. */
+constexpr size_t kMostEntriesPerJob = 4;
 
 /** Appends `index` to the ranges, or lengthens the last one. */
 void AddSucceeded(std::vector<SucceededRange>& ranges, const StepState& step,
@@ -113,7 +113,9 @@
     if (!this->workers.contains(id)) note += id.value + '\n';
   }
   this->noting_workers = true;
-  commit.writes.push_back({.key = kWorkersKey, .value = std::move(note)});
+  commit.writes.push_back({.key = kWorkersKey,
+                           .value = std::move(note),
+                           .expected = this->note_revision});
 }
 
 void PoolPlanner::AddJobWrites(JobState& job, StoreCommit& commit,
@@ -122,12 +124,13 @@
   const size_t before = commit.writes.size();
   if (!job.stored) {
     commit.writes.push_back(
-        {.key = JobKey(id), .value = EncodeJob(job.job), .create = true});
+        {.key = JobKey(id), .value = EncodeJob(job.job), .expected = 0});
     sent.created.push_back(id);
   }
   if (job.changes > job.stored_changes) {
     commit.writes.push_back({.key = ProgressKey(id),
-                             .value = EncodeProgress(this->ProgressOf(job))});
+                             .value = EncodeProgress(this->ProgressOf(job)),
+                             .expected = job.progress_revision});
     sent.progressed.emplace_back(id, job.changes);
   }
   if (commit.writes.size() > before) this->being_written.insert(id);
@@ -149,16 +152,12 @@
     return;
   }
   if (reply.outcome == platform::Outcome::kDone) {
-    this->FinishCommit(sent, time);
+    this->FinishCommit(sent, reply.revision, time);
     return;
   }
   if (reply.outcome == platform::Outcome::kRefused) {
-    // Keys that exist were created by an earlier commit without an answer.
-    for (const std::string& key : reply.existing) {
-      const base::JobId id(
-          std::string_view(key).substr(std::string_view(kJobPrefix).size()));
-      const auto job = this->jobs.find(id);
-      if (job != this->jobs.end()) this->MarkCreated(*job->second, time);
+    for (const KeyRevision& current : reply.current) {
+      this->LearnRevision(current, time);
     }
   }
   this->RetryCommit(sent, reply.outcome, time);
@@ -178,9 +177,32 @@
   }
 }
 
+void PoolPlanner::LearnRevision(const KeyRevision& current,
+                                const PlannerTime& time) {
+  // What differs was written by an earlier commit without an answer.
+  if (current.key == kWorkersKey) {
+    this->note_revision = current.revision;
+    return;
+  }
+  const std::string_view key = current.key;
+  for (const std::string_view prefix :
+       {std::string_view(kJobPrefix), std::string_view(kProgressPrefix)}) {
+    if (!key.starts_with(prefix)) continue;
+    const auto job = this->jobs.find(base::JobId(key.substr(prefix.size())));
+    if (job == this->jobs.end()) return;
+    if (prefix == kProgressPrefix) {
+      job->second->progress_revision = current.revision;
+    } else if (current.revision != 0) {
+      this->MarkCreated(*job->second, time);
+    }
+  }
+}
+
 void PoolPlanner::FinishCommit(const SentCommit& sent,
+                               platform::Revision revision,
                                const PlannerTime& time) {
   this->store_failed_until = {};
+  if (!sent.workers.empty()) this->note_revision = revision;
   for (const base::JobId& id : sent.created) {
     const auto job = this->jobs.find(id);
     if (job != this->jobs.end()) this->MarkCreated(*job->second, time);
@@ -189,6 +211,7 @@
     const auto found = this->jobs.find(id);
     if (found == this->jobs.end()) continue;
     JobState& job = *found->second;
+    job.progress_revision = revision;
     job.stored_changes = std::max(job.stored_changes, changes);
     if (job.stored_changes == job.changes) {
       job.stored_phase = job.phase;
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -248,7 +248,7 @@
       }
       break;
     case WorkerVerdict::kOtherLife:
-      this->BeginOtherLife(worker, time);
+      this->EndLife(worker, time);
       return;
     case WorkerVerdict::kNotSent:
       this->NoteSilence(worker, time);
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -49,18 +49,16 @@
     slot = std::make_unique<WorkerState>();
     slot->next_review = time.now;
     slot->last_answer = time.now;
-  } else if (slot->record.born_ms != 0 && record.born_ms != 0 &&
-             slot->record.born_ms != record.born_ms) {
-    this->BeginOtherLife(*slot, time);
+  } else if (slot->life_ms != 0 && record.born_ms != 0 &&
+             slot->life_ms != record.born_ms) {
+    // Its lists tell what is left; orders may have reached the new life.
+    this->ForgetLife(*slot, time);
   }
   if (record.draining && !slot->record.draining) {
     this->log.Add(time.now, "worker draining", "worker={} remaining_ms={}",
                   record.worker.value, base::ToMilliseconds(record.remaining));
   }
-  const int64_t born_ms =
-      record.born_ms != 0 ? record.born_ms : slot->record.born_ms;
   slot->record = record;
-  slot->record.born_ms = born_ms;
   slot->rack = RackOf(record);
   slot->listed = true;
   this->decide = true;
@@ -101,8 +99,9 @@
 void PoolPlanner::SendReview(WorkerState& worker, const PlannerTime& time) {
   ReviewOrder order{.worker = worker.record.worker,
                     .endpoint = worker.record.endpoint,
-                    .fence = this->options.fence,
-                    .forget_up_to = worker.stored_ends};
+                    .fence = this->options.fence};
+  // After a failed call another life may answer, whose ends are unread.
+  if (worker.silent_calls == 0) order.forget_up_to = worker.stored_ends;
   // A worker that does not answer gets no longer lease, so that the time by
   // which its runs must have ended comes.
   if (worker.silent_calls == 0) {
@@ -160,7 +159,7 @@
       if (!run->worker->review_in_flight) run->worker->next_review = time.now;
       break;
     case WorkerVerdict::kOtherLife:
-      this->BeginOtherLife(*run->worker, time);
+      this->EndLife(*run->worker, time);
       break;
     default:
       run->next_stop = time.now + this->options.stop_retry;
@@ -179,7 +178,7 @@
   WorkerState& worker = *found->second;
   worker.review_in_flight = false;
   if (reply.verdict == WorkerVerdict::kOtherLife) {
-    this->BeginOtherLife(worker, time);
+    this->EndLife(worker, time);
     worker.next_review = time.now + this->options.review_retry;
     return;
   }
@@ -192,11 +191,10 @@
     }
     return;
   }
-  if (reply.born_ms != 0 && worker.record.born_ms != 0 &&
-      reply.born_ms != worker.record.born_ms) {
-    this->BeginOtherLife(worker, time);
+  if (worker.life_ms != 0 && reply.born_ms != worker.life_ms) {
+    this->ForgetLife(worker, time);
   }
-  if (reply.born_ms != 0) worker.record.born_ms = reply.born_ms;
+  worker.life_ms = reply.born_ms;
   this->NoteClock(worker, reply.worker_clock_ms, time.now);
   if (!std::exchange(worker.reviewed, true)) {
     this->log.Add(time.now, "worker reviewed", "worker={} running={} ended={}",
@@ -301,16 +299,22 @@
   }
 }
 
-void PoolPlanner::BeginOtherLife(WorkerState& worker, const PlannerTime& time) {
-  this->LoseRuns(worker, "another life of the worker answers", time);
+void PoolPlanner::ForgetLife(WorkerState& worker, const PlannerTime& time) {
+  this->log.Add(time.now, "worker in another life", "worker={} runs={}",
+                worker.record.worker.value, worker.runs.size());
   worker.reviewed = false;
   worker.stored_ends = 0;
   worker.handled_ends = 0;
   worker.unstored.clear();
   worker.clock_ms.reset();
-  worker.lapses_at = {};
-  worker.record.born_ms = 0;
+  worker.life_ms = 0;
   worker.next_review = time.now;
+}
+
+void PoolPlanner::EndLife(WorkerState& worker, const PlannerTime& time) {
+  this->LoseRuns(worker, "another worker answers at its address", time);
+  this->ForgetLife(worker, time);
+  worker.lapses_at = {};
   this->unread.erase(worker.record.worker);
 }
 
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -80,12 +80,12 @@
 }
 
 void PoolPlanner::Load(std::span<const StoredJob> stored,
-                       std::span<const base::WorkerId> noted,
-                       const PlannerTime& time) {
+                       const WorkersNote& note, const PlannerTime& time) {
   for (const StoredJob& entry : stored) {
     JobState& job = this->AddJob(entry.job, time);
     job.stored = true;
     job.inherited = true;
+    job.progress_revision = entry.progress_revision;
     if (!entry.progress) continue;
     for (const SucceededRange& range : entry.progress->succeeded) {
       StepState* step = this->FindStep(
@@ -121,10 +121,11 @@
       this->open.erase(job.job.id);
     }
   }
-  this->unread.insert(noted.begin(), noted.end());
+  this->unread.insert(note.workers.begin(), note.workers.end());
+  this->note_revision = note.revision;
   this->log.Add(time.now, "planner loaded",
                 "fence={} jobs={} open={} workers={}", this->options.fence,
-                this->jobs.size(), this->open.size(), noted.size());
+                this->jobs.size(), this->open.size(), note.workers.size());
 }
 
 std::vector<Effect> PoolPlanner::Advance(const PlannerTime& time) {
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -31,6 +31,15 @@
 struct StoredJob {
   Job job;
   std::optional<JobProgress> progress;
+  /** Revision of the progress; 0 if there is none. */
+  platform::Revision progress_revision = 0;
+};
+
+/** The note of the workers that may have runs of earlier terms. */
+struct WorkersNote {
+  std::vector<base::WorkerId> workers;
+  /** Its revision in the store; 0 if there is none. */
+  platform::Revision revision = 0;
 };
 
 /** The time as the planner is told it. */
@@ -77,10 +86,9 @@
   /** Puts a configuration in force; an older one is ignored. */
   void SetQueues(const QueueTable& queues, const PlannerTime& time);
 
-  /** Takes over what the store held at the beginning of the term.
-   * \param noted workers that may have runs of earlier terms. */
-  void Load(std::span<const StoredJob> stored,
-            std::span<const base::WorkerId> noted, const PlannerTime& time);
+  /** Takes over what the store held at the beginning of the term. */
+  void Load(std::span<const StoredJob> stored, const WorkersNote& note,
+            const PlannerTime& time);
 
   /** The store lists a worker, anew or with changes. */
   void OnWorker(const WorkerRecord& record, const PlannerTime& time);
@@ -177,7 +185,9 @@
   bool FillCommit(StoreCommit& commit, SentCommit& sent);
   void AddWorkersNote(StoreCommit& commit, SentCommit& sent);
   void AddJobWrites(JobState& job, StoreCommit& commit, SentCommit& sent);
-  void FinishCommit(const SentCommit& sent, const PlannerTime& time);
+  void FinishCommit(const SentCommit& sent, platform::Revision revision,
+                    const PlannerTime& time);
+  void LearnRevision(const KeyRevision& current, const PlannerTime& time);
   void RetryCommit(const SentCommit& sent, platform::Outcome outcome,
                    const PlannerTime& time);
   void MarkCreated(JobState& job, const PlannerTime& time);
@@ -194,7 +204,10 @@
                                             base::Instant now) const;
   void NoteClock(WorkerState& worker, int64_t clock_ms, base::Instant now);
   void NoteSilence(WorkerState& worker, const PlannerTime& time);
-  void BeginOtherLife(WorkerState& worker, const PlannerTime& time);
+  /** The worker's lists begin anew; its runs are judged by the next review. */
+  void ForgetLife(WorkerState& worker, const PlannerTime& time);
+  /** The worker is provably gone, and all its runs with it. */
+  void EndLife(WorkerState& worker, const PlannerTime& time);
   void LoseRuns(WorkerState& worker, std::string_view reason,
                 const PlannerTime& time);
   void HandleRunningRows(WorkerState& worker, const ReviewReply& reply,
@@ -281,6 +294,7 @@
   std::map<uint64_t, SentCommit> commits;
   std::set<base::JobId> being_written;
   bool noting_workers = false;
+  platform::Revision note_revision = 0;
   uint64_t next_commit_id = 1;
   base::Instant next_commit;
   base::Instant store_failed_until;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -133,6 +133,8 @@
   /** Changes to the progress so far, and those stored. */
   uint64_t changes = 0;
   uint64_t stored_changes = 0;
+  /** Revision of the progress in the store; 0 if it holds none. */
+  platform::Revision progress_revision = 0;
   base::Instant accepted_at;
   base::Instant objective;
   base::Instant final_at;
@@ -166,6 +168,8 @@
   base::Instant unlisted_at;
   /** Whether the store holds it among the workers that may have runs. */
   bool noted = false;
+  /** Its start in Unix milliseconds, as its own lists told; 0 until then. */
+  int64_t life_ms = 0;
   /** Whether its lists have been read under the present fence. */
   bool reviewed = false;
   bool review_in_flight = false;
