--- a/src/agatepass/settings/ini_reader.cpp
+++ b/src/agatepass/settings/ini_reader.cpp
@@ -1,6 +1,7 @@
 #include "agatepass/settings/ini_reader.h"
 
 #include <array>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -34,6 +35,17 @@
   return text;
 }
 
+/** Parses a fraction such as "1.5" of a unit; nothing if it is malformed. */
+std::optional<base::Duration> ParseFraction(std::string_view digits,
+                                            int64_t unit_microseconds) {
+  const std::optional<double> number = base::ParseNumber<double>(digits);
+  if (!number || !std::isfinite(*number)) return std::nullopt;
+  const double microseconds = *number * static_cast<double>(unit_microseconds);
+  constexpr double kMostMicroseconds = 9e18;
+  if (std::abs(microseconds) > kMostMicroseconds) return std::nullopt;
+  return base::Duration(std::llround(microseconds));
+}
+
 }  // namespace
 
 std::optional<base::Duration> ParseDuration(std::string_view text) {
@@ -41,13 +53,14 @@
     if (!text.ends_with(unit.name)) continue;
     const std::string_view digits =
         base::TrimBlanks(text.substr(0, text.size() - unit.name.size()));
-    const std::optional<int64_t> number = base::ParseNumber<int64_t>(digits);
-    if (!number) return std::nullopt;
-    int64_t microseconds = 0;
-    if (__builtin_mul_overflow(*number, unit.microseconds, &microseconds)) {
-      return std::nullopt;
+    if (const auto number = base::ParseNumber<int64_t>(digits)) {
+      int64_t microseconds = 0;
+      if (__builtin_mul_overflow(*number, unit.microseconds, &microseconds)) {
+        return std::nullopt;
+      }
+      return base::Duration(microseconds);
     }
-    return base::Duration(microseconds);
+    return ParseFraction(digits, unit.microseconds);
   }
   return std::nullopt;
 }
--- a/src/agatepass/settings/tests/host_settings_test.cpp
+++ b/src/agatepass/settings/tests/host_settings_test.cpp
@@ -69,6 +69,11 @@
 
 TEST(ParseDuration, NeedsAUnitAndFits) {
   EXPECT_EQ(ParseDuration("2min"), std::chrono::minutes(2));
+  EXPECT_EQ(ParseDuration("1.5s"), std::chrono::milliseconds(1500));
+  EXPECT_EQ(ParseDuration("0.25ms"), std::chrono::microseconds(250));
+  EXPECT_EQ(ParseDuration("1.5.s"), std::nullopt);
+  EXPECT_EQ(ParseDuration("nans"), std::nullopt);
+  EXPECT_EQ(ParseDuration("1e300s"), std::nullopt);
   EXPECT_EQ(ParseDuration("15"), std::nullopt);
   EXPECT_EQ(ParseDuration("ms"), std::nullopt);
   EXPECT_EQ(ParseDuration("9223372036854775807h"), std::nullopt);
