--- a/fakes/pool_worker.cpp
+++ b/fakes/pool_worker.cpp
@@ -90,12 +90,20 @@
   }
   this->Forget(order.forget_up_to);
   for (const auto& [task, run] : this->runs) {
-    reply.running.push_back({.task = task, .run = run.number});
+    reply.running.push_back(
+        {.task = task, .run = run.number, .percent = PercentOf(run, now)});
   }
   for (const Ended& entry : this->ended) reply.ended.push_back(entry.row);
   return reply;
 }
 
+int PoolWorker::PercentOf(const Run& run, base::Instant now) {
+  constexpr int kWhole = 100;
+  if (run.plan.time.count() == 0) return kWhole;
+  const base::Duration left = std::max(run.ends - now, base::Duration(0));
+  return kWhole - static_cast<int>(kWhole * left / run.plan.time);
+}
+
 void PoolWorker::Forget(uint64_t up_to) {
   std::erase_if(this->ended, [&](const Ended& entry) {
     if (entry.row.number > up_to) return false;
@@ -107,6 +115,9 @@
 void PoolWorker::Advance(base::Instant now) {
   std::vector<std::pair<pool::TaskName, pool::RunEnd>> due;
   const bool lapsed = this->ClockMs(now) > this->lease_until_ms;
+  if (this->hangs) {
+    for (auto& [task, run] : this->runs) run.ends += now - this->latest;
+  }
   this->latest = now;
   for (const auto& [task, run] : this->runs) {
     if (lapsed) {
--- a/fakes/pool_worker.h
+++ b/fakes/pool_worker.h
@@ -66,6 +66,8 @@
   bool HasUnseenEnds() const { return !this->ended.empty(); }
 
   pool::WorkerRecord record;
+  /** Whether its runs stand still. */
+  bool hangs = false;
 
  private:
   struct Run {
@@ -85,6 +87,7 @@
   };
 
   int64_t ClockMs(base::Instant now) const;
+  static int PercentOf(const Run& run, base::Instant now);
   void Forget(uint64_t up_to);
   void End(const pool::TaskName& task, pool::RunEnd end);
   bool IsFenced(pool::Fence fence);
--- a/src/agatepass/pool/election.h
+++ b/src/agatepass/pool/election.h
@@ -52,12 +52,12 @@
 /** Times of the election. */
 struct ElectionOptions {
   PlannerEntry self;
-  base::Duration lease_time = std::chrono::milliseconds(2000);
-  base::Duration renew_period = std::chrono::milliseconds(500);
+  base::Duration lease_time = std::chrono::milliseconds(1300);
+  base::Duration renew_period = std::chrono::milliseconds(300);
   /** Wait of this host before it stands, so that not all stand at once. */
   base::Duration stand_delay = std::chrono::milliseconds(0);
   /** Wait after a step that failed. */
-  base::Duration retry = std::chrono::milliseconds(300);
+  base::Duration retry = std::chrono::milliseconds(150);
 };
 
 /** One host's view of the election.
--- /dev/null
+++ b/src/agatepass/pool/pace.h
@@ -0,0 +1,37 @@
+/** \file
+ * Whether a run stands still.
+ *
+ * Answers workers whose tasks stand still while their health is good. A slow
+ * run is no sign: callers' estimates are wrong by up to ten times.
+ */
+#ifndef AGATEPASS_POOL_PACE_H_
+#define AGATEPASS_POOL_PACE_H_
+
+#include "agatepass/base/time.h"
+
+namespace agatepass::pool {
+
+/** One look at a run's progress. */
+struct RunPace {
+  /** Progress at the beginning and the end of the look, 0 to 100. */
+  int percent_before = 0;
+  int percent = 0;
+  /** Time between the two. */
+  base::Duration elapsed{0};
+  /** The caller's estimate of the whole run time. */
+  base::Duration estimate{0};
+};
+
+enum class PaceVerdict : uint8_t {
+  /** The look is too short to tell. */
+  kTooEarly,
+  kMoves,
+  kStandsStill,
+};
+
+/** Judges one look at a run. */
+PaceVerdict JudgePace(const RunPace& pace);
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_PACE_H_
--- a/src/agatepass/pool/planner_decide.cpp
+++ b/src/agatepass/pool/planner_decide.cpp
@@ -293,7 +293,7 @@
   if (step.definition->uses_idle_processors) need.millicores = 0;
   RunState& run = this->AddRun(name, number, worker, &step, need);
   run.ordered_at = time.now;
-  run.percent_changed = time.now;
+  run.mark.at = time.now;
   run.expected_end = time.now + step.definition->estimate;
   const std::optional<int64_t> lease =
       this->LeaseOnWorkerClock(worker, time.now);
--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -55,6 +55,8 @@
    * `failing_shun_time`. */
   uint32_t failures_to_shun = 3;
   base::Duration failing_shun_time = std::chrono::seconds(4);
+  /** Time without new work for a worker whose runs stand still. */
+  base::Duration sluggish_shun_time = std::chrono::milliseconds(2500);
   /** Share of the processors that admission counts on. */
   double usable_share = 0.85;
   /** How early a timed occurrence may start. */
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -225,10 +225,7 @@
       run->phase = RunPhase::kRunning;
       run->confirmed_at = time.now;
     }
-    if (row.percent != run->percent) {
-      run->percent = row.percent;
-      run->percent_changed = time.now;
-    }
+    this->JudgeProgress(*run, row.percent, time);
     if (run->step != nullptr && !row.saved.empty()) {
       run->step->tasks[row.task.index].saved = row.saved;
     }
@@ -273,8 +270,7 @@
   run.phase = RunPhase::kRunning;
   run.ordered_at = time.now;
   run.confirmed_at = time.now;
-  run.percent = row.percent;
-  run.percent_changed = time.now;
+  run.mark = {row.percent, time.now};
   this->log.Add(time.now, wanted ? "run adopted" : "run not wanted",
                 "task={} run={} worker={} percent={}", ToString(row.task),
                 row.run, worker.record.worker.value, row.percent);
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -59,6 +59,7 @@
   uint64_t ends = 0;
   uint64_t failures = 0;
   uint64_t workers_lost = 0;
+  uint64_t runs_moved = 0;
   uint64_t advice_queries = 0;
   uint64_t commits = 0;
 };
@@ -220,6 +221,9 @@
   bool MayStartInherited(base::Instant now) const;
   void LeaveOffice(std::string reason);
 
+  // planner_progress.cpp
+  void JudgeProgress(RunState& run, int percent, const PlannerTime& time);
+
   // planner_runs.cpp
   RunState& AddRun(const TaskName& task, RunNumber run, WorkerState& worker,
                    StepState* step, const platform::Resources& need);
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -37,6 +37,12 @@
   kStopping,
 };
 
+/** How far a run had come when its progress was last looked at. */
+struct ProgressMark {
+  int percent = 0;
+  base::Instant at;
+};
+
 /** One run of a task on a worker. Its room counts until it has settled. */
 struct RunState {
   TaskName task;
@@ -54,8 +60,7 @@
   std::optional<base::Instant> stopped_at;
   /** When the worker was first known to run it. */
   base::Instant confirmed_at;
-  int percent = 0;
-  base::Instant percent_changed;
+  ProgressMark mark;
 };
 
 /** What is known of one task. */
--- a/src/agatepass/pool/tests/silent_worker_test.cpp
+++ b/src/agatepass/pool/tests/silent_worker_test.cpp
@@ -60,5 +60,18 @@
   EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
 }
 
+TEST(SilentWorker, RunsThatStandStillAreMoved) {
+  PoolCell cell(1, 2);
+  cell.Submit(MakePoolJob("a", 2, 5000, seconds(1)));
+  cell.RunFor(std::chrono::milliseconds(300));
+  cell.worker(0).hangs = true;
+  // Two looks of 1.2 s at reviews that are a second apart, and the stop.
+  cell.RunFor(seconds(4));
+  EXPECT_EQ(cell.Starts({base::JobId("a"), 0, 0, 0}), 2);
+  cell.RunFor(seconds(2));
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
--- a/tests/faults/pool_seeds_test.cpp
+++ b/tests/faults/pool_seeds_test.cpp
@@ -16,7 +16,7 @@
 
 constexpr size_t kWorkers = 4;
 constexpr int kSteps = 40;
-constexpr int kFaultKinds = 11;
+constexpr int kFaultKinds = 12;
 
 /** Draws whole numbers below `bound`. */
 class Draw {
@@ -72,6 +72,11 @@
     case 8:
       cell.Cancel(base::JobId("j" + std::to_string(draw(kSteps))));
       break;
+    case 9: {
+      PoolWorker& worker = cell.worker(draw(kWorkers));
+      worker.hangs = !worker.hangs;
+      break;
+    }
     default:
       cell.faults = {};
       break;
@@ -97,6 +102,7 @@
       cell.RunFor(milliseconds(50 + draw(600)));
     }
     cell.faults = {};
+    for (size_t k = 0; k < kWorkers; ++k) cell.worker(k).hangs = false;
     cell.RunFor(seconds(90));
     ASSERT_EQ(cell.violations(), std::vector<std::string>())
         << "seed " << seed << '\n'
