--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -400,6 +400,11 @@
                 [reply] { reply({.outcome = platform::Outcome::kNotSent}); });
     return;
   }
+  if (this->faults.store_silent) {
+    this->After(kCommitTimeout,
+                [reply] { reply({.outcome = platform::Outcome::kUnknown}); });
+    return;
+  }
   const bool lost = this->Chance(this->faults.lost_commits);
   // A commit without an answer may be done at once or seconds later.
   const base::Duration delay = lost && this->Chance(0.5)
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -27,6 +27,8 @@
   /** Share of the commits that are done and not answered. */
   double lost_commits = 0;
   bool store_down = false;
+  /** Whether the store does nothing and answers nothing. */
+  bool store_silent = false;
   /** Workers that no planner reaches. */
   std::set<base::WorkerId> cut_off;
   /** Share of the runs that fail. */
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/** When a caller may come back after the store did not take a job. */
-constexpr base::Duration kStoreRetryAfter = std::chrono::seconds(1);
-
 /** Sum of the run times of all steps' tasks that wait, in millicore-seconds. */
 double WaitingWork(const JobState& job) {
   double work = 0;
@@ -65,9 +62,10 @@
                  base::Duration(0), std::move(flaw), time);
     return;
   }
-  if (this->retiring || time.now < this->store_failed_until) {
+  if (this->retiring || this->store_health.IsDown()) {
     this->Reject(call, job, base::ResultCode::kStoreUnreachable,
-                 kStoreRetryAfter, "the store does not take writes now", time);
+                 this->store_health.RetryAfter(time.now),
+                 "the store does not take writes now", time);
     return;
   }
   if (!this->FitsAnyWorker(job, queue->service)) {
@@ -177,7 +175,8 @@
   const std::vector<CallId> calls = std::move(job.waiting_submits);
   for (const CallId call : calls) {
     this->Reject(call, job.job, base::ResultCode::kStoreUnreachable,
-                 kStoreRetryAfter, "the store did not take the job", time);
+                 this->store_health.RetryAfter(time.now),
+                 "the store did not take the job", time);
   }
   for (const CallId call : job.waiting_cancels) {
     this->Answer(call, base::ResultCode::kNotFound);
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -63,11 +63,13 @@
 }
 
 void PoolPlanner::SendCommits(const PlannerTime& time) {
-  while (this->commits.size() < this->options.most_commits_in_flight &&
-         time.now >= this->next_commit) {
+  // While the store is down one commit at a time finds out when it is back.
+  const bool probes = this->store_health.IsDown();
+  const size_t most = probes ? 1 : this->options.most_commits_in_flight;
+  while (this->commits.size() < most && time.now >= this->next_commit) {
     StoreCommit commit;
     SentCommit sent;
-    if (!this->FillCommit(commit, sent)) return;
+    if (!this->FillCommit(commit, sent) && !probes) return;
     commit.id = this->next_commit_id++;
     this->commits.emplace(commit.id, std::move(sent));
     ++this->totals.commits;
@@ -147,6 +149,9 @@
     this->being_written.erase(id);
   }
   if (!sent.workers.empty()) this->noting_workers = false;
+  const bool answered = reply.outcome == platform::Outcome::kDone ||
+                        reply.outcome == platform::Outcome::kRefused;
+  if (answered) this->store_health.OnAnswer();
   if (reply.lost_office) {
     this->LeaveOffice("another planner's key stands in the store");
     return;
@@ -201,7 +206,6 @@
 void PoolPlanner::FinishCommit(const SentCommit& sent,
                                platform::Revision revision,
                                const PlannerTime& time) {
-  this->store_failed_until = {};
   if (!sent.workers.empty()) this->note_revision = revision;
   for (const base::JobId& id : sent.created) {
     const auto job = this->jobs.find(id);
@@ -236,7 +240,7 @@
                               const PlannerTime& time) {
   if (outcome != platform::Outcome::kRefused) {
     this->next_commit = time.now + this->options.commit_retry;
-    this->store_failed_until = time.now + 2 * this->options.commit_retry;
+    this->store_health.OnFailure(time.now);
     this->log.Add(time.now, "commit not taken",
                   "outcome=\"{}\" jobs={} progress={}",
                   platform::OutcomeName(outcome), sent.created.size(),
@@ -258,6 +262,17 @@
   }
 }
 
+void PoolPlanner::AnswerUncertain(const PlannerTime& time) {
+  for (auto& [id, job] : this->open) {
+    if (job->stored || !job->may_be_stored) continue;
+    if (time.now < job->accepted_at + this->options.longest_uncertain) continue;
+    for (const CallId call : std::exchange(job->waiting_submits, {})) {
+      this->Answer(call, base::ResultCode::kOutcomeUnknown,
+                   "the store does not say whether it took the job");
+    }
+  }
+}
+
 void PoolPlanner::ReleaseStoredEnds(WorkerState& worker,
                                     const PlannerTime& time) {
   const uint64_t before = worker.stored_ends;
@@ -278,7 +293,7 @@
 void PoolPlanner::RemoveExpired(const PlannerTime& time) {
   if (time.now < this->next_removal) return;
   this->next_removal = time.now + kRemovalPeriod;
-  if (time.now < this->store_failed_until) return;
+  if (this->store_health.IsDown()) return;
   StoreCommit commit;
   SentCommit sent;
   for (auto entry = this->jobs.begin(); entry != this->jobs.end();) {
--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -35,6 +35,9 @@
   /** Wait after a commit that the store did not take. */
   base::Duration commit_retry = std::chrono::milliseconds(250);
   size_t most_commits_in_flight = 3;
+  /** Time after which a caller is told that a job's fate is unknown: it may
+   * send it again under the same id. */
+  base::Duration longest_uncertain = std::chrono::milliseconds(1500);
   /** Entries of one commit: the store takes 32, one is the condition that the
    * planner is in office. */
   size_t entries_per_commit = 31;
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -140,6 +140,7 @@
     this->SendCommits(time);
     this->SendReviews(time);
     this->RemoveExpired(time);
+    this->AnswerUncertain(time);
   }
   return std::exchange(this->effects, {});
 }
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -23,6 +23,7 @@
 #include "agatepass/pool/pool_state.h"
 #include "agatepass/pool/queue_table.h"
 #include "agatepass/pool/record_codec.h"
+#include "agatepass/pool/store_health.h"
 #include "agatepass/timeline/decision_log.h"
 
 namespace agatepass::pool {
@@ -196,6 +197,7 @@
   JobProgress ProgressOf(const JobState& job) const;
   void ReleaseStoredEnds(WorkerState& worker, const PlannerTime& time);
   void RemoveExpired(const PlannerTime& time);
+  void AnswerUncertain(const PlannerTime& time);
 
   // planner_workers.cpp
   void SendReviews(const PlannerTime& time);
@@ -301,7 +303,7 @@
   platform::Revision note_revision = 0;
   uint64_t next_commit_id = 1;
   base::Instant next_commit;
-  base::Instant store_failed_until;
+  StoreHealth store_health;
   base::Instant next_removal;
   std::optional<GangHold> hold;
   std::vector<Effect> effects;
--- /dev/null
+++ b/src/agatepass/pool/store_health.h
@@ -0,0 +1,55 @@
+/** \file
+ * Whether the store takes commits, from how the latest ones ended.
+ *
+ * Answers outages: once several commits in a row were not taken, new jobs are
+ * rejected at once instead of adding to those whose fate is unknown, and one
+ * commit at a time finds out when the store is back.
+ */
+#ifndef AGATEPASS_POOL_STORE_HEALTH_H_
+#define AGATEPASS_POOL_STORE_HEALTH_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "agatepass/base/time.h"
+
+namespace agatepass::pool {
+
+/** Follows the outcomes of commits. */
+class StoreHealth {
+ public:
+  /** Failures in a row that make an outage; single answers get lost while the
+   * store is well. */
+  static constexpr uint32_t kFailuresInRow = 3;
+
+  static constexpr base::Duration kShortestRetry = std::chrono::seconds(1);
+  static constexpr base::Duration kLongestRetry = std::chrono::seconds(4);
+
+  /** The store answered a commit, whatever it said. */
+  void OnAnswer() { this->failures = 0; }
+
+  /** The store did not take a commit, or did not answer. */
+  void OnFailure(base::Instant now) {
+    if (this->failures == 0) this->failing_since = now;
+    ++this->failures;
+  }
+
+  /** Whether new jobs would not be stored. */
+  bool IsDown() const { return this->failures >= kFailuresInRow; }
+
+  /** When a caller may come back: an outage is taken to last as long again as
+   * it has lasted. */
+  base::Duration RetryAfter(base::Instant now) const {
+    if (this->failures == 0) return kShortestRetry;
+    return std::clamp<base::Duration>(now - this->failing_since, kShortestRetry,
+                                      kLongestRetry);
+  }
+
+ private:
+  uint32_t failures = 0;
+  base::Instant failing_since;
+};
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_STORE_HEALTH_H_
--- /dev/null
+++ b/src/agatepass/pool/tests/store_health_test.cpp
@@ -0,0 +1,39 @@
+// Outages of the store, told from single lost answers.
+#include "agatepass/pool/store_health.h"
+
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using std::chrono::seconds;
+
+TEST(StoreHealth, SingleLostAnswersAreNoOutage) {
+  StoreHealth health;
+  const base::Instant now(seconds(10));
+  health.OnFailure(now);
+  health.OnFailure(now);
+  EXPECT_FALSE(health.IsDown());
+  health.OnAnswer();
+  health.OnFailure(now);
+  EXPECT_FALSE(health.IsDown());
+}
+
+TEST(StoreHealth, SeveralInARowAreOne) {
+  StoreHealth health;
+  for (int i = 0; i < 3; ++i) health.OnFailure(base::Instant(seconds(10)));
+  EXPECT_TRUE(health.IsDown());
+  health.OnAnswer();
+  EXPECT_FALSE(health.IsDown());
+}
+
+TEST(StoreHealth, TellsCallersToComeBackLaterTheLongerItLasts) {
+  StoreHealth health;
+  health.OnFailure(base::Instant(seconds(10)));
+  EXPECT_EQ(health.RetryAfter(base::Instant(seconds(10))), seconds(1));
+  EXPECT_EQ(health.RetryAfter(base::Instant(seconds(13))), seconds(3));
+  EXPECT_EQ(health.RetryAfter(base::Instant(seconds(60))), seconds(4));
+}
+
+}  // namespace
+}  // namespace agatepass::pool
