--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -155,7 +155,7 @@
     }
     this->After(kLatency, [this, review] {
       if (!review.planner->alive) return;
-      review.planner->state->OnReview(review.order.worker, {}, this->Now());
+      review.planner->state->OnReview(review.order, {}, this->Now());
     });
   }
 }
@@ -347,10 +347,10 @@
 
 void PoolCell::AnswerReview(const WaitingReview& review) {
   Planner& planner = *review.planner;
-  const auto reply = [this, &planner, id = review.order.worker](
-                         const pool::ReviewReply& answer) {
+  const auto reply = [this, &planner,
+                      order = review.order](const pool::ReviewReply& answer) {
     if (!planner.alive) return;
-    planner.state->OnReview(id, answer, this->Now());
+    planner.state->OnReview(order, answer, this->Now());
   };
   if (PoolWorker* worker = this->Find(review.order.worker)) {
     const pool::ReviewReply answer = worker->Review(review.order, this->time);
--- a/src/agatepass/pool/election.cpp
+++ b/src/agatepass/pool/election.cpp
@@ -50,6 +50,10 @@
     this->waiting = true;
     return ElectionStep::kReadKey;
   }
+  if (this->IsOwnPast()) {
+    this->waiting = true;
+    return ElectionStep::kRemoveKey;
+  }
   if (this->withdrawn || !this->vacant_since) return ElectionStep::kNothing;
   if (now < *this->vacant_since + this->options.stand_delay) {
     return ElectionStep::kNothing;
@@ -110,6 +114,15 @@
   this->OnPlannerSeen(std::move(planner), revision, now);
 }
 
+void Election::OnKeyRemoved(platform::Outcome outcome, base::Instant now) {
+  this->waiting = false;
+  if (outcome == platform::Outcome::kDone) {
+    this->OnPlannerSeen(std::nullopt, 0, now);
+  } else {
+    this->next_step = now + this->options.retry;
+  }
+}
+
 void Election::OnLeaseRenewed(platform::Outcome outcome, base::Instant now) {
   this->waiting = false;
   this->next_renewal = now + this->options.renew_period;
--- a/src/agatepass/pool/election.h
+++ b/src/agatepass/pool/election.h
@@ -44,6 +44,9 @@
   kCreateKey,
   /** Read the planner's key, to see whether an unanswered create was done. */
   kReadKey,
+  /** Remove the key that an earlier process of this host has left, if it is
+   * still there. */
+  kRemoveKey,
   kRenewLease,
   /** End the lease; the key goes with it. */
   kEndLease,
@@ -88,6 +91,7 @@
   /** \param planner what the key holds, nothing if it does not exist. */
   void OnKeyRead(platform::Outcome outcome, std::optional<PlannerEntry> planner,
                  platform::Revision revision, base::Instant now);
+  void OnKeyRemoved(platform::Outcome outcome, base::Instant now);
   void OnLeaseRenewed(platform::Outcome outcome, base::Instant now);
   void OnLeaseEnded();
 
@@ -100,6 +104,9 @@
   /** Whether this host holds the office. */
   bool in_office() const { return this->fence != 0; }
 
+  /** Revision at which the planner's key as last seen was created. */
+  platform::Revision planner_revision() const { return this->seen_revision; }
+
   /** Fence of the present term; 0 out of office. */
   Fence term() const { return this->fence; }
 
@@ -112,6 +119,11 @@
   base::Duration lease_time() const { return this->options.lease_time; }
 
  private:
+  /** Whether the planner seen is an earlier process of this host. */
+  bool IsOwnPast() const {
+    return this->seen && this->seen->host == this->options.self.host &&
+           this->seen->incarnation != this->options.self.incarnation;
+  }
   void TakeOffice(platform::Revision revision, base::Instant now);
 
   ElectionOptions options;
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -177,6 +177,7 @@
   std::optional<int64_t> lease_until_ms;
   /** How long the worker may wait for an end before it answers. */
   base::Duration wait{0};
+  base::Instant sent_at;
 };
 
 /** Ask which of the workers may run a step. */
--- a/src/agatepass/pool/peer_call.cpp
+++ b/src/agatepass/pool/peer_call.cpp
@@ -147,6 +147,33 @@
   }
 }
 
+base::HttpAnswer EncodeHelloReply(const HelloReply& reply) {
+  Json body = {{"revision", reply.revision}, {"hosts", Json::array()}};
+  if (reply.planner) body["planner"] = EncodePlannerEntry(*reply.planner);
+  for (const base::Endpoint& host : reply.hosts) {
+    body["hosts"].push_back(host.ToString());
+  }
+  return {.status = kHttpOk,
+          .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+std::optional<HelloReply> DecodeHelloReply(const base::HttpAnswer& answer) {
+  if (answer.status != kHttpOk) return std::nullopt;
+  try {
+    const Json in = Json::parse(answer.body);
+    HelloReply reply;
+    reply.revision = in.at("revision").get<platform::Revision>();
+    reply.planner = DecodePlannerEntry(in.value("planner", ""));
+    for (const Json& host : in.at("hosts")) {
+      const auto endpoint = base::ParseEndpoint(host.get<std::string>());
+      if (endpoint) reply.hosts.push_back(*endpoint);
+    }
+    return reply;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 base::HttpAnswer EncodeAdviceReply(const AdviceReply& reply) {
   Json body = {{"answered", reply.answered},
                {"valid_us", reply.valid.count()},
--- a/src/agatepass/pool/peer_call.h
+++ b/src/agatepass/pool/peer_call.h
@@ -8,9 +8,11 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "agatepass/base/http_message.h"
 #include "agatepass/base/identifier.h"
+#include "agatepass/pool/election.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
 
@@ -23,10 +25,18 @@
   kCountPending,
   /** Ask the advice service on the planner's behalf. */
   kAdvise,
-  /** A host tells the planner that it can ask for advice. */
+  /** A host tells that it is there, and learns who plans. */
   kHello,
 };
 
+/** What a host answers to kHello: who plans, and which other hosts it knows. */
+struct HelloReply {
+  std::optional<PlannerEntry> planner;
+  /** Revision at which the planner's key was created. */
+  platform::Revision revision = 0;
+  std::vector<base::Endpoint> hosts;
+};
+
 /** One call. */
 struct PeerCall {
   PeerVerb verb = PeerVerb::kDescribe;
@@ -57,6 +67,12 @@
 /** Reads the planner's answer; nothing if it is malformed. */
 std::optional<CallerAnswer> DecodeCallerAnswer(const base::HttpAnswer& answer);
 
+/** Renders a host's answer to kHello. */
+base::HttpAnswer EncodeHelloReply(const HelloReply& reply);
+
+/** Reads a host's answer to kHello; nothing if it is malformed. */
+std::optional<HelloReply> DecodeHelloReply(const base::HttpAnswer& answer);
+
 /** Renders a host's answer to kAdvise. */
 base::HttpAnswer EncodeAdviceReply(const AdviceReply& reply);
 
--- a/src/agatepass/pool/planner_decide.cpp
+++ b/src/agatepass/pool/planner_decide.cpp
@@ -297,11 +297,7 @@
   run.expected_end = time.now + step.definition->estimate;
   const std::optional<int64_t> lease =
       this->LeaseOnWorkerClock(worker, time.now);
-  worker.lapses_at = std::max(
-      worker.lapses_at, time.now + std::chrono::duration_cast<base::Duration>(
-                                       (this->options.worker_lease +
-                                        (time.now - worker.clock_at)) /
-                                       this->options.slowest_clock));
+  this->NoteLease(worker, time.now);
   if (job.phase == JobPhase::kQueued) job.phase = JobPhase::kRunning;
   ++this->totals.starts;
   this->log.Add(time.now, "start ordered",
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -20,10 +20,11 @@
 
 /** Whether a worker that was leaving is gone: its entry was removed while it
  * still answered, and nobody listens at its address since. */
-bool HasLeft(const WorkerState& worker, WorkerVerdict verdict) {
+bool HasLeft(const WorkerState& worker, const ReviewOrder& order,
+             WorkerVerdict verdict) {
   return worker.record.draining && !worker.listed &&
          verdict == WorkerVerdict::kNotSent &&
-         worker.review_sent > worker.unlisted_at &&
+         order.sent_at > worker.unlisted_at &&
          worker.unlisted_at - worker.last_answer < kAnsweredLately;
 }
 
@@ -91,15 +92,28 @@
 
 void PoolPlanner::SendReviews(const PlannerTime& time) {
   for (auto& [id, worker] : this->workers) {
-    if (worker->review_in_flight || time.now < worker->next_review) continue;
-    this->SendReview(*worker, time);
+    if (!worker->review_in_flight && time.now >= worker->next_review) {
+      // Ends that are listed already would make the worker answer at once.
+      const bool waits = worker->reviewed && worker->unstored.empty() &&
+                         worker->silent_calls == 0;
+      worker->review_in_flight = true;
+      worker->quick_review_wanted = worker->quick_review_wanted && waits;
+      this->SendReview(*worker, waits, time);
+    }
+    if (worker->quick_review_wanted && !worker->quick_review_in_flight) {
+      worker->quick_review_wanted = false;
+      worker->quick_review_in_flight = true;
+      this->SendReview(*worker, false, time);
+    }
   }
 }
 
-void PoolPlanner::SendReview(WorkerState& worker, const PlannerTime& time) {
+void PoolPlanner::SendReview(WorkerState& worker, bool waits,
+                             const PlannerTime& time) {
   ReviewOrder order{.worker = worker.record.worker,
                     .endpoint = worker.record.endpoint,
-                    .fence = this->options.fence};
+                    .fence = this->options.fence,
+                    .sent_at = time.now};
   // After a failed call another life may answer, whose ends are unread.
   if (worker.silent_calls == 0) order.forget_up_to = worker.stored_ends;
   // A worker that does not answer gets no longer lease, so that the time by
@@ -107,25 +121,22 @@
   if (worker.silent_calls == 0) {
     order.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
   }
-  // Ends that are listed already would make the worker answer at once.
-  const bool waits =
-      worker.reviewed && worker.unstored.empty() && worker.silent_calls == 0;
   if (waits) {
     order.wait = worker.runs.empty() ? this->options.idle_review_wait
                                      : this->options.review_wait;
   }
-  if (order.lease_until_ms) {
-    // The worker may read the order late and its clock may be slow.
-    const base::Duration longest = std::chrono::duration_cast<base::Duration>(
-        (this->options.worker_lease + (time.now - worker.clock_at)) /
-        this->options.slowest_clock);
-    worker.lapses_at = std::max(worker.lapses_at, time.now + longest);
-  }
-  worker.review_in_flight = true;
-  worker.review_sent = time.now;
+  if (order.lease_until_ms) this->NoteLease(worker, time.now);
   this->effects.push_back(std::move(order));
 }
 
+void PoolPlanner::NoteLease(WorkerState& worker, base::Instant now) {
+  // The worker may read the order late and its clock may be slow.
+  const base::Duration longest = std::chrono::duration_cast<base::Duration>(
+      (this->options.worker_lease + (now - worker.clock_at)) /
+      this->options.slowest_clock);
+  worker.lapses_at = std::max(worker.lapses_at, now + longest);
+}
+
 void PoolPlanner::SendStops(const PlannerTime& time) {
   for (const RunKey& key : this->stopping) {
     const auto found = this->runs.find(key);
@@ -156,7 +167,8 @@
     case WorkerVerdict::kDone:
     case WorkerVerdict::kOldRun:
       run->stopped_at = time.now;
-      if (!run->worker->review_in_flight) run->worker->next_review = time.now;
+      // Only the lists tell whether it ran.
+      run->worker->quick_review_wanted = true;
       break;
     case WorkerVerdict::kOtherLife:
       this->EndLife(*run->worker, time);
@@ -167,28 +179,33 @@
   }
 }
 
-void PoolPlanner::OnReview(const base::WorkerId& id, const ReviewReply& reply,
+void PoolPlanner::FailReview(WorkerState& worker, const ReviewOrder& order,
+                             WorkerVerdict verdict, const PlannerTime& time) {
+  if (verdict == WorkerVerdict::kOtherLife) {
+    this->EndLife(worker, time);
+  } else {
+    this->NoteSilence(worker, time);
+    if (HasLeft(worker, order, verdict)) {
+      this->LoseRuns(worker, "it drained and left", time);
+      worker.lapses_at = {};
+    }
+  }
+  worker.next_review = time.now + this->options.review_retry;
+}
+
+void PoolPlanner::OnReview(const ReviewOrder& order, const ReviewReply& reply,
                            const PlannerTime& time) {
   if (reply.verdict == WorkerVerdict::kFenced) {
     this->LeaveOffice("a worker has seen a higher fence");
     return;
   }
-  const auto found = this->workers.find(id);
+  const auto found = this->workers.find(order.worker);
   if (found == this->workers.end()) return;
   WorkerState& worker = *found->second;
-  worker.review_in_flight = false;
-  if (reply.verdict == WorkerVerdict::kOtherLife) {
-    this->EndLife(worker, time);
-    worker.next_review = time.now + this->options.review_retry;
-    return;
-  }
+  const bool quick = order.wait.count() == 0 && worker.quick_review_in_flight;
+  (quick ? worker.quick_review_in_flight : worker.review_in_flight) = false;
   if (reply.verdict != WorkerVerdict::kDone) {
-    this->NoteSilence(worker, time);
-    worker.next_review = time.now + this->options.review_retry;
-    if (HasLeft(worker, reply.verdict)) {
-      this->LoseRuns(worker, "it drained and left", time);
-      worker.lapses_at = {};
-    }
+    this->FailReview(worker, order, reply.verdict, time);
     return;
   }
   if (worker.life_ms != 0 && reply.born_ms != worker.life_ms) {
@@ -198,14 +215,14 @@
   this->NoteClock(worker, reply.worker_clock_ms, time.now);
   if (!std::exchange(worker.reviewed, true)) {
     this->log.Add(time.now, "worker reviewed", "worker={} running={} ended={}",
-                  id.value, reply.running.size(), reply.ended.size());
+                  order.worker.value, reply.running.size(), reply.ended.size());
   }
   for (const EndedRow& row : reply.ended) {
     if (row.number > worker.handled_ends) this->HandleEnd(worker, row, time);
   }
   this->HandleRunningRows(worker, reply, time);
-  this->HandleMissingRuns(worker, reply, time);
-  this->unread.erase(id);
+  this->HandleMissingRuns(worker, order.sent_at, reply, time);
+  this->unread.erase(order.worker);
   worker.next_review = worker.unstored.empty()
                            ? time.now
                            : time.now + this->options.review_retry;
@@ -232,7 +249,7 @@
   }
 }
 
-void PoolPlanner::HandleMissingRuns(WorkerState& worker,
+void PoolPlanner::HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
                                     const ReviewReply& reply,
                                     const PlannerTime& time) {
   std::set<RunKey> present;
@@ -242,10 +259,9 @@
   std::vector<RunState*> missing;
   for (RunState* run : worker.runs) {
     if (present.contains({run->task, run->run})) continue;
-    const bool stopped =
-        run->stopped_at && *run->stopped_at < worker.review_sent;
-    const bool vanished = run->phase == RunPhase::kRunning &&
-                          run->confirmed_at < worker.review_sent;
+    const bool stopped = run->stopped_at && *run->stopped_at < sent_at;
+    const bool vanished =
+        run->phase == RunPhase::kRunning && run->confirmed_at < sent_at;
     if (stopped || vanished) missing.push_back(run);
   }
   for (RunState* run : missing) {
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -120,7 +120,7 @@
                const PlannerTime& time);
   void OnStop(const TaskName& task, RunNumber run, const OrderReply& reply,
               const PlannerTime& time);
-  void OnReview(const base::WorkerId& worker, const ReviewReply& reply,
+  void OnReview(const ReviewOrder& order, const ReviewReply& reply,
                 const PlannerTime& time);
   void OnAdvice(const base::JobId& job, uint32_t occurrence, uint32_t step,
                 const AdviceReply& reply, const PlannerTime& time);
@@ -201,10 +201,13 @@
 
   // planner_workers.cpp
   void SendReviews(const PlannerTime& time);
-  void SendReview(WorkerState& worker, const PlannerTime& time);
+  void SendReview(WorkerState& worker, bool waits, const PlannerTime& time);
+  void FailReview(WorkerState& worker, const ReviewOrder& order,
+                  WorkerVerdict verdict, const PlannerTime& time);
   void SendStops(const PlannerTime& time);
   std::optional<int64_t> LeaseOnWorkerClock(const WorkerState& worker,
                                             base::Instant now) const;
+  void NoteLease(WorkerState& worker, base::Instant now);
   void NoteClock(WorkerState& worker, int64_t clock_ms, base::Instant now);
   void NoteSilence(WorkerState& worker, const PlannerTime& time);
   /** The worker's lists begin anew; its runs are judged by the next review. */
@@ -215,8 +218,8 @@
                 const PlannerTime& time);
   void HandleRunningRows(WorkerState& worker, const ReviewReply& reply,
                          const PlannerTime& time);
-  void HandleMissingRuns(WorkerState& worker, const ReviewReply& reply,
-                         const PlannerTime& time);
+  void HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
+                         const ReviewReply& reply, const PlannerTime& time);
   void AdoptRow(WorkerState& worker, const RunningRow& row,
                 const PlannerTime& time);
   void DropLapsedWorkers(const PlannerTime& time);
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -178,8 +178,9 @@
   /** Whether its lists have been read under the present fence. */
   bool reviewed = false;
   bool review_in_flight = false;
-  bool review_waits = false;
-  base::Instant review_sent;
+  /** Whether a review beside a waiting one is wanted, or under way. */
+  bool quick_review_wanted = false;
+  bool quick_review_in_flight = false;
   base::Instant next_review;
   /** Ends whose effect is stored, and ends handled. */
   uint64_t stored_ends = 0;
--- a/src/agatepass/pool/tests/election_test.cpp
+++ b/src/agatepass/pool/tests/election_test.cpp
@@ -88,6 +88,16 @@
   EXPECT_EQ(this->election.Next(this->now), ElectionStep::kEndLease);
 }
 
+TEST_F(ElectionTest, TheKeyOfAnEarlierProcessOfThisHostIsRemoved) {
+  PlannerEntry past = kSelf;
+  past.incarnation = "0";
+  this->election.OnPlannerSeen(past, 7, this->now);
+  ASSERT_EQ(this->election.Next(this->now), ElectionStep::kRemoveKey);
+  EXPECT_EQ(this->election.planner_revision(), 7U);
+  this->election.OnKeyRemoved(Outcome::kDone, this->now);
+  EXPECT_EQ(this->election.Next(this->now), ElectionStep::kGrantLease);
+}
+
 TEST_F(ElectionTest, EntriesSurviveTheStore) {
   EXPECT_EQ(DecodePlannerEntry(EncodePlannerEntry(kSelf)), kSelf);
   EXPECT_EQ(DecodePlannerEntry("a b c"), std::nullopt);
--- a/src/agatepass/pool/tests/record_codec_test.cpp
+++ b/src/agatepass/pool/tests/record_codec_test.cpp
@@ -65,6 +65,19 @@
   EXPECT_EQ(call->version, 7U);
 }
 
+TEST(RecordCodec, ASightingOfThePlannerSurvives) {
+  const HelloReply reply{
+      .planner = PlannerEntry{base::HostId("a"), {"10.0.0.1", 7000}, "1"},
+      .revision = 12,
+      .hosts = {{"10.0.0.2", 7000}}};
+  const auto decoded = DecodeHelloReply(EncodeHelloReply(reply));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->planner, reply.planner);
+  EXPECT_EQ(decoded->revision, 12U);
+  EXPECT_EQ(decoded->hosts, reply.hosts);
+  EXPECT_FALSE(DecodeHelloReply({.status = 200, .body = "[]"}));
+}
+
 TEST(RecordCodec, AnAnswerSurvivesTheWayBack) {
   const auto answer = DecodeCallerAnswer(
       EncodeCallerAnswer({.code = base::ResultCode::kOverloaded,
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -32,7 +32,7 @@
 
   /** Answers the first review of a worker with ends. */
   void Review(const std::string& worker, std::vector<EndedRow> ended) {
-    this->planner.OnReview(base::WorkerId(worker),
+    this->planner.OnReview({.worker = base::WorkerId(worker)},
                            {.verdict = WorkerVerdict::kDone,
                             .worker_clock_ms = 1000,
                             .born_ms = 1,
