--- a/src/agatepass/base/http_message.h
+++ b/src/agatepass/base/http_message.h
@@ -17,6 +17,8 @@
   std::string address;
   uint16_t port = 0;
 
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Endpoint&) const = default;
 
   /** Returns the form ADDRESS:PORT. */
