--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -34,7 +34,9 @@
   base::Duration commit_gap = std::chrono::milliseconds(20);
   /** Wait after a commit that the store did not take. */
   base::Duration commit_retry = std::chrono::milliseconds(250);
-  size_t most_commits_in_flight = 3;
+  /** Enough that work does not queue while the store is tens of times slower
+   * than usual. */
+  size_t most_commits_in_flight = 8;
   /** Time after which a caller is told that a job's fate is unknown: it may
    * send it again under the same id. */
   base::Duration longest_uncertain = std::chrono::milliseconds(1500);
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -1,5 +1,6 @@
 #include "agatepass/pool/pool_planner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace agatepass::pool {
@@ -146,7 +147,12 @@
 }
 
 bool PoolPlanner::IsSettled() const {
-  return this->commits.empty() && this->unwritten.empty();
+  // Ends that are not stored are still listed by the workers for a successor.
+  return std::none_of(this->jobs.begin(), this->jobs.end(),
+                      [](const auto& entry) {
+                        const JobState& job = *entry.second;
+                        return !job.stored || !job.waiting_cancels.empty();
+                      });
 }
 
 std::pair<int64_t, int64_t> PoolPlanner::Usage() const {
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -130,7 +130,7 @@
   /** Does what is due and returns what has to be carried out, in order. */
   std::vector<Effect> Advance(const PlannerTime& time);
 
-  /** Whether everything decided is stored, so that the term may end. */
+  /** Whether no caller waits for the store, so that the term may end. */
   bool IsSettled() const;
 
   /** Stops accepting and starting, for a hand-over. */
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -123,6 +123,30 @@
   EXPECT_EQ(CountStarts(this->Settle()), 2U);
 }
 
+TEST(TakeoverInTheCell, AStopWaitsOnlyForCallers) {
+  PoolCell cell(1, 2);
+  cell.Submit(MakePoolJob("a", 2, 1000, seconds(1)));
+  cell.RunFor(seconds(1));
+  // The end of a run that is not stored yet does not hold the term up.
+  cell.faults.store_down = true;
+  cell.RunFor(seconds(1));
+  cell.planner()->Retire();
+  EXPECT_TRUE(cell.planner()->IsSettled());
+  cell.faults.store_down = false;
+  cell.KillPlanner(milliseconds(100));
+  cell.RunFor(seconds(5));
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
+TEST(TakeoverInTheCell, ACallerThatWaitsHoldsTheTermUp) {
+  PoolCell cell(1, 2);
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  EXPECT_FALSE(cell.planner()->IsSettled());
+  cell.RunFor(milliseconds(100));
+  EXPECT_TRUE(cell.planner()->IsSettled());
+}
+
 TEST(TakeoverInTheCell, AdoptsWhatRunsAndRunsNothingTwice) {
   PoolCell cell(1, 3);
   for (int i = 0; i < 6; ++i) {
