Keep each clean lint verdict at once

Cause: verdicts were kept in the order of the sources, so an interrupted run lost what it had found: 8 of the sources done in 100 s were kept.

--- a/scripts/lint_sources.py
+++ b/scripts/lint_sources.py
@@ -3,7 +3,8 @@
 
 A source's verdict holds as long as the source, the repository's headers that it includes, the
 linter's settings and the linter itself are the same. Only clean verdicts are kept, in
-$XDG_CACHE_HOME/agatepass-lint. Usage: lint_sources.py BUILD_FOLDER
+$XDG_CACHE_HOME/agatepass-lint. Usage: lint_sources.py BUILD_FOLDER [SOURCE...]; without sources,
+all that git knows or does not ignore.
 """
 import hashlib
 import os
@@ -41,11 +42,14 @@
     return digest.hexdigest()
 
 
-def lint(build, source):
-    """Returns the exit code and the findings."""
+def lint(build, source, key):
+    """Returns the findings, empty if the source is clean; keeps a clean verdict at once."""
     run = subprocess.run(["clang-tidy", "-p", build, "--quiet", str(source)],
                          stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True, check=False)
-    return run.returncode, run.stdout
+    if run.returncode == 0:
+        (cache / key).touch()
+        return ""
+    return run.stdout or f"clang-tidy ended with {run.returncode} on {source}"
 
 
 def main():
@@ -54,19 +58,17 @@
     settings = version + pathlib.Path(".clang-tidy").read_bytes() + pathlib.Path("CMakeLists.txt").read_bytes()
     listed = subprocess.run(["git", "ls-files", "--cached", "--others", "--exclude-standard", "*.cpp"],
                             stdout=subprocess.PIPE, text=True, check=True).stdout.split()
-    sources = {pathlib.Path(name): None for name in listed}
+    sources = {pathlib.Path(name): None for name in sys.argv[2:] or listed}
     for source in sources:
         sources[source] = key_of(source, settings)
     cache.mkdir(parents=True, exist_ok=True)
     due = [source for source, key in sources.items() if not (cache / key).exists()]
     failed = 0
     with ThreadPoolExecutor(os.cpu_count()) as pool:
-        for source, (code, findings) in zip(due, pool.map(lambda source: lint(build, source), due)):
-            if code == 0:
-                (cache / sources[source]).touch()
-                continue
-            failed += 1
-            print(findings, flush=True)
+        for findings in pool.map(lambda source: lint(build, source, sources[source]), due):
+            if findings:
+                failed += 1
+                print(findings, flush=True)
     print(f"linted {len(due)} of {len(sources)} sources, {failed} with findings; the others were clean before")
     return 1 if failed else 0
 
