--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -71,7 +71,6 @@
     return;
   }
   advice.known = true;
-  advice.asked.insert(advice.in_query.begin(), advice.in_query.end());
   base::Duration valid = reply.valid;
   if (valid.count() == 0) {
     valid = step->job->advice_valid.value_or(base::Duration(0));
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -91,8 +91,6 @@
   bool known = false;
   base::Instant asked_at;
   base::Instant retry_at;
-  /** Workers named in any answered query. */
-  std::set<base::WorkerId> asked;
   std::map<base::WorkerId, TicketState> good;
   std::vector<base::WorkerId> in_query;
 };
