Answer open calls when a term ends

Ruled out: a lost answer on the way (both hosts were in touch). Change: the term's open calls are answered 'unknown' at once. Test: OpenCalls.

--- /dev/null
+++ b/src/agatepass/pool/tests/open_calls_test.cpp
@@ -0,0 +1,27 @@
+// No caller is left without an answer when a term ends.
+#include "agatepass/pool/open_calls.h"
+
+#include <vector>
+
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+TEST(OpenCalls, ATermThatEndsAnswersEveryOpenCallOnce) {
+  OpenCalls calls;
+  std::vector<base::ResultCode> codes;
+  const auto keep = [&codes](const CallerAnswer& answer) {
+    codes.push_back(answer.code);
+  };
+  const CallId first = calls.Add(keep);
+  calls.Add(keep);
+  calls.Answer({.call = first, .code = base::ResultCode::kAccepted});
+  calls.AnswerAllUnknown("the term has ended");
+  calls.Answer({.call = first});
+  EXPECT_EQ(codes, (std::vector{base::ResultCode::kAccepted,
+                                base::ResultCode::kOutcomeUnknown}));
+}
+
+}  // namespace
+}  // namespace agatepass::pool
