Read settings files in one place; drop an option that nothing plans by

Left: timeline::DecisionLog beside timeline::Log (batched, without a line each write), and the two daemons' main functions.

--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -18,8 +18,6 @@
   /** Lease on all that a worker runs, renewed by each review. It has to outlast
    * a takeover, and a lost worker's tasks wait for its end. */
   base::Duration worker_lease = std::chrono::milliseconds(6500);
-  /** Longest lease that a worker grants. */
-  base::Duration longest_worker_lease = std::chrono::seconds(10);
   /** How slow a worker's clock may be, as a share of ours. */
   double slowest_clock = 0.98;
   /** Time for which a review of a busy worker waits for an end. */
--- a/src/agatepass/settings/host_settings.cpp
+++ b/src/agatepass/settings/host_settings.cpp
@@ -1,8 +1,6 @@
 #include "agatepass/settings/host_settings.h"
 
 #include <array>
-#include <fstream>
-#include <sstream>
 
 #include "agatepass/base/result_code.h"
 #include "agatepass/settings/ini_reader.h"
@@ -84,15 +82,9 @@
 }
 
 absl::StatusOr<HostSettings> LoadHostSettings(const std::string& path) {
-  const std::ifstream file(path);
-  if (!file) {
-    return base::ErrorStatus(
-        base::ResultCode::kNotFound,
-        fmt::format("settings file \"{}\" cannot be read", path));
-  }
-  std::stringstream text;
-  text << file.rdbuf();
-  return ParseHostSettings(path, text.str());
+  const absl::StatusOr<std::string> text = ReadSettingsFile(path);
+  if (!text.ok()) return text.status();
+  return ParseHostSettings(path, *text);
 }
 
 }  // namespace agatepass::settings
--- a/src/agatepass/settings/ini_reader.cpp
+++ b/src/agatepass/settings/ini_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cmath>
+#include <fstream>
 #include <sstream>
 #include <utility>
 
@@ -65,6 +66,18 @@
   return std::nullopt;
 }
 
+absl::StatusOr<std::string> ReadSettingsFile(const std::string& path) {
+  const std::ifstream file(path);
+  if (!file) {
+    return base::ErrorStatus(
+        base::ResultCode::kNotFound,
+        fmt::format("settings file \"{}\" cannot be read", path));
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 std::string RenderDuration(base::Duration duration) {
   const int64_t count = duration.count();
   constexpr int64_t kMillisecond = 1'000;
--- a/src/agatepass/settings/ini_reader.h
+++ b/src/agatepass/settings/ini_reader.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "agatepass/base/http_message.h"
 #include "agatepass/base/time.h"
 #include "boost/property_tree/ptree.hpp"
@@ -88,6 +89,10 @@
   std::vector<std::string> errors;
 };
 
+/** Reads a settings file whole.
+ * \return kNotFound with the path if it cannot be read. */
+absl::StatusOr<std::string> ReadSettingsFile(const std::string& path);
+
 /** Parses a duration with its unit: us, ms, s, min or h; nothing if malformed.
  */
 std::optional<base::Duration> ParseDuration(std::string_view text);
