Ask for advice about workers with room, and about more when a step finds none

Cause: the first query named the first hundred workers by id. Ruled out: too few hosts to ask through (the advice desk was mostly idle). Change: ChooseWorkersToAsk names workers with room first, as many as should yield places for the step at the share seen good in its queue; a step that finds no room asks about workers that no answer covers. Tests: AdviceChoice, GoodShares, WidePool (240 workers; fails on the old choice, which never leaves the first hundred).

--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -10,6 +10,10 @@
 
 const std::string kNoTicket;
 
+/** Workers by which the first one asked about moves on; a prime, so that all
+ * come to be first. */
+constexpr size_t kTurnStep = 37;
+
 }  // namespace
 
 bool PoolPlanner::NeedsAdvice(const StepState& step) const {
@@ -22,16 +26,35 @@
   return found == step.advice.good.end() ? kNoTicket : found->second.ticket;
 }
 
-void PoolPlanner::AskFirstAdvice(StepState& step, const PlannerTime& time) {
-  if (step.advice.in_flight || time.now < step.advice.retry_at) return;
-  std::vector<base::WorkerId> named;
+void PoolPlanner::AskAboutMore(StepState& step, const PlannerTime& time) {
+  AdviceState& advice = step.advice;
+  if (advice.in_flight || time.now < advice.retry_at) return;
+  // A step whose good workers are known waits for them rather than for more
+  // advice about workers that are as busy.
+  const bool only_with_room = advice.known;
+  std::vector<WorkerToAsk> candidates;
   for (const auto& [id, worker] : this->workers) {
-    if (!worker->listed || worker->record.draining) continue;
-    if (worker->record.service != step.job->service) continue;
-    if (named.size() >= this->options.workers_per_query) break;
-    named.push_back(id);
+    if (advice.asked.contains(id)) continue;
+    if (!this->IsSuitable(*worker, step)) continue;
+    WorkerToAsk candidate{.worker = id,
+                          .fits_now = this->FitsOn(*worker, step),
+                          .fits_empty = this->FitsOnEmpty(*worker, step)};
+    if (time.now < worker->shunned_until) candidate.fits_now = 0;
+    if (only_with_room && candidate.fits_now == 0) continue;
+    candidates.push_back(std::move(candidate));
   }
-  if (!named.empty()) this->AskAdvice(step, std::move(named), time);
+  if (candidates.empty()) return;
+  // Steps that ask at the same time begin with different workers.
+  const auto turn = static_cast<std::ptrdiff_t>(this->totals.advice_queries *
+                                                kTurnStep % candidates.size());
+  std::rotate(candidates.begin(), candidates.begin() + turn, candidates.end());
+  const AdviceDemand demand{
+      .tasks = step.waiting,
+      .good_share = this->good_shares.Expect(step.job->job.queue),
+      .least_workers = advice.known ? 1 : this->options.least_workers_per_query,
+      .most_workers = this->options.workers_per_query};
+  this->AskAdvice(step, ChooseWorkersToAsk(std::move(candidates), demand),
+                  time);
 }
 
 void PoolPlanner::AskAdvice(StepState& step, std::vector<base::WorkerId> named,
@@ -77,6 +100,14 @@
   }
   const base::Instant valid_until =
       time.now + valid - this->options.ticket_margin;
+  const bool first_asked = std::none_of(
+      advice.in_query.begin(), advice.in_query.end(),
+      [&advice](const auto& id) { return advice.asked.contains(id); });
+  if (first_asked) {
+    this->good_shares.OnAnswer(step->job->job.queue, advice.in_query.size(),
+                               reply.good.size());
+  }
+  advice.asked.insert(advice.in_query.begin(), advice.in_query.end());
   for (const AdviceTicket& ticket : reply.good) {
     advice.good[ticket.worker] = {ticket.ticket, valid_until};
   }
--- a/src/agatepass/pool/planner_decide.cpp
+++ b/src/agatepass/pool/planner_decide.cpp
@@ -55,6 +55,18 @@
   return job.priority == 0 ? Urgency::kUrgent : Urgency::kInTime;
 }
 
+/** Returns how many tasks of a step fit into a room, at most `most`. */
+uint32_t CountFits(const Step& step, platform::Resources room, uint32_t most) {
+  platform::Resources need = step.need;
+  if (step.uses_idle_processors) need.millicores = 0;
+  uint32_t fits = 0;
+  while (fits < most && need.FitsIn(room)) {
+    room -= need;
+    ++fits;
+  }
+  return fits;
+}
+
 uint32_t RunsOnWorker(const StepState& step, const WorkerState& worker) {
   uint32_t count = 0;
   for (const RunState* run : worker.runs) {
@@ -114,7 +126,7 @@
 
 void PoolPlanner::PlaceStep(StepState& step, const PlannerTime& time) {
   if (this->NeedsAdvice(step) && !step.advice.known) {
-    this->AskFirstAdvice(step, time);
+    this->AskAboutMore(step, time);
     return;
   }
   if (!step.job->stored) return;
@@ -128,20 +140,26 @@
   } else if (!candidates.empty()) {
     this->PlaceTasks(step, std::move(candidates), time);
   }
+  if (step.waiting > 0 && this->NeedsAdvice(step)) {
+    this->AskAboutMore(step, time);
+  }
+}
+
+bool PoolPlanner::IsSuitable(const WorkerState& worker,
+                             const StepState& step) const {
+  if (!worker.listed || worker.record.draining) return false;
+  if (worker.record.service != step.job->service) return false;
+  const std::string& label = step.definition->required_label;
+  return label.empty() ||
+         std::find(worker.record.labels.begin(), worker.record.labels.end(),
+                   label) != worker.record.labels.end();
 }
 
 bool PoolPlanner::IsUsable(const WorkerState& worker, const StepState& step,
                            const PlannerTime& time) const {
-  if (!worker.listed || worker.record.draining) return false;
+  if (!this->IsSuitable(worker, step)) return false;
   if (!worker.reviewed || !worker.noted || !worker.clock_ms) return false;
-  if (worker.record.service != step.job->service) return false;
   if (time.now < worker.shunned_until) return false;
-  const std::string& label = step.definition->required_label;
-  if (!label.empty() &&
-      std::find(worker.record.labels.begin(), worker.record.labels.end(),
-                label) == worker.record.labels.end()) {
-    return false;
-  }
   if (this->hold && this->hold->step != &step && step.job->priority > 0 &&
       this->hold->workers.contains(&worker) &&
       time.now + step.definition->estimate > this->hold->until) {
@@ -153,21 +171,23 @@
 uint32_t PoolPlanner::FitsOn(const WorkerState& worker,
                              const StepState& step) const {
   const Step& definition = *step.definition;
-  platform::Resources need = definition.need;
-  if (definition.uses_idle_processors) need.millicores = 0;
-  platform::Resources room = worker.Room();
   uint32_t most = step.waiting;
   if (definition.most_per_worker > 0) {
     const uint32_t present = RunsOnWorker(step, worker);
     if (present >= definition.most_per_worker) return 0;
     most = std::min(most, definition.most_per_worker - present);
   }
-  uint32_t fits = 0;
-  while (fits < most && need.FitsIn(room)) {
-    room -= need;
-    ++fits;
+  return CountFits(definition, worker.Room(), most);
+}
+
+uint32_t PoolPlanner::FitsOnEmpty(const WorkerState& worker,
+                                  const StepState& step) const {
+  const Step& definition = *step.definition;
+  uint32_t most = step.waiting;
+  if (definition.most_per_worker > 0) {
+    most = std::min(most, definition.most_per_worker);
   }
-  return fits;
+  return CountFits(definition, worker.record.total, most);
 }
 
 std::vector<PoolPlanner::Candidate> PoolPlanner::FindCandidates(
@@ -328,13 +348,8 @@
   std::map<WorkerState*, platform::Resources> room;
   uint32_t fits = 0;
   const auto count = [&step](const platform::Resources& available) {
-    platform::Resources left = available;
-    uint32_t number = 0;
-    while (number < step.tasks.size() && step.definition->need.FitsIn(left)) {
-      left -= step.definition->need;
-      ++number;
-    }
-    return number;
+    return CountFits(*step.definition, available,
+                     static_cast<uint32_t>(step.tasks.size()));
   };
   const bool advised = this->NeedsAdvice(step);
   for (const auto& [id, worker] : this->workers) {
--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -52,6 +52,9 @@
   base::Duration ticket_margin = std::chrono::milliseconds(200);
   /** Most workers named in one query for advice. */
   size_t workers_per_query = 100;
+  /** Fewest workers named in the first query about a step, so that one query
+   * is mostly enough. */
+  size_t least_workers_per_query = 30;
   /** Time without new work for a worker that did not answer or was unwell. */
   base::Duration shun_time = std::chrono::milliseconds(1500);
   /** Failures in a row after which a worker gets no work for
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -17,6 +17,7 @@
 
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
+#include "agatepass/pool/advice_choice.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
 #include "agatepass/pool/planner_options.h"
@@ -255,7 +256,10 @@
                                         const PlannerTime& time);
   bool IsUsable(const WorkerState& worker, const StepState& step,
                 const PlannerTime& time) const;
+  /** Whether the step could run there once the worker is well and has room. */
+  bool IsSuitable(const WorkerState& worker, const StepState& step) const;
   uint32_t FitsOn(const WorkerState& worker, const StepState& step) const;
+  uint32_t FitsOnEmpty(const WorkerState& worker, const StepState& step) const;
   void PlaceTasks(StepState& step, std::vector<Candidate> candidates,
                   const PlannerTime& time);
   void PlaceGang(StepState& step, std::vector<Candidate> candidates,
@@ -272,13 +276,15 @@
   bool NeedsAdvice(const StepState& step) const;
   void AskAdvice(StepState& step, std::vector<base::WorkerId> workers,
                  const PlannerTime& time);
-  void AskFirstAdvice(StepState& step, const PlannerTime& time);
+  /** Asks about workers that no answer about this step covers yet. */
+  void AskAboutMore(StepState& step, const PlannerTime& time);
   const std::string& TicketFor(const StepState& step,
                                const WorkerState& worker) const;
 
   PlannerOptions options;
   timeline::DecisionLog& log;
   QueueTable queues;
+  GoodShares good_shares;
   PlannerCounts totals;
   bool retiring = false;
   bool deposed = false;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -92,6 +92,9 @@
   base::Instant asked_at;
   base::Instant retry_at;
   std::map<base::WorkerId, TicketState> good;
+  /** Workers that an answer covers, good or not: which are good never changes.
+   */
+  std::set<base::WorkerId> asked;
   std::vector<base::WorkerId> in_query;
 };
 
--- /dev/null
+++ b/src/agatepass/pool/tests/advice_choice_test.cpp
@@ -0,0 +1,67 @@
+// Which workers a query for advice names.
+#include "agatepass/pool/advice_choice.h"
+
+#include "fmt/format.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+std::vector<WorkerToAsk> Workers(size_t count, uint32_t fits_now,
+                                 uint32_t fits_empty) {
+  std::vector<WorkerToAsk> workers;
+  for (size_t i = 0; i < count; ++i) {
+    workers.push_back(
+        {base::WorkerId(fmt::format("w{:03}", i)), fits_now, fits_empty});
+  }
+  return workers;
+}
+
+TEST(AdviceChoice, NamesNoMoreThanTheStepShouldNeed) {
+  const AdviceDemand demand{
+      .tasks = 2, .good_share = 0.5, .least_workers = 4, .most_workers = 100};
+  // Three places for each task, half of the workers good, two places on each.
+  EXPECT_EQ(ChooseWorkersToAsk(Workers(200, 2, 2), demand).size(), 6U);
+}
+
+TEST(AdviceChoice, NamesAtLeastTheFewestAndAtMostTheMost) {
+  AdviceDemand demand{
+      .tasks = 1, .good_share = 1, .least_workers = 30, .most_workers = 100};
+  EXPECT_EQ(ChooseWorkersToAsk(Workers(200, 8, 8), demand).size(), 30U);
+  demand.tasks = 400;
+  EXPECT_EQ(ChooseWorkersToAsk(Workers(200, 8, 8), demand).size(), 100U);
+  EXPECT_EQ(ChooseWorkersToAsk(Workers(12, 8, 8), demand).size(), 12U);
+}
+
+TEST(AdviceChoice, WorkersWithRoomComeFirst) {
+  std::vector<WorkerToAsk> workers = Workers(50, 0, 4);
+  workers[40].fits_now = 3;
+  workers[45].fits_now = 4;
+  const auto named = ChooseWorkersToAsk(
+      workers,
+      {.tasks = 1, .good_share = 0.5, .least_workers = 2, .most_workers = 9});
+  ASSERT_GE(named.size(), 2U);
+  EXPECT_EQ(named[0], base::WorkerId("w045"));
+  EXPECT_EQ(named[1], base::WorkerId("w040"));
+}
+
+TEST(AdviceChoice, FullWorkersCountForLess) {
+  const AdviceDemand demand{
+      .tasks = 4, .good_share = 1, .least_workers = 1, .most_workers = 100};
+  const size_t with_room = ChooseWorkersToAsk(Workers(99, 4, 4), demand).size();
+  const size_t full = ChooseWorkersToAsk(Workers(99, 0, 4), demand).size();
+  EXPECT_EQ(with_room, 3U);
+  EXPECT_EQ(full, 15U);
+}
+
+TEST(GoodShares, FollowsTheAnswersOfEachQueue) {
+  GoodShares shares;
+  const double unknown = shares.Expect("letters");
+  EXPECT_GT(unknown, 0);
+  for (int i = 0; i < 60; ++i) shares.OnAnswer("letters", 40, 12);
+  EXPECT_NEAR(shares.Expect("letters"), 0.3, 0.01);
+  EXPECT_EQ(shares.Expect("alerts"), unknown);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/tests/wide_pool_test.cpp
@@ -0,0 +1,136 @@
+// A pool with more workers than one query for advice can name.
+#include <map>
+#include <set>
+#include <vector>
+
+#include "agatepass/pool/pool_planner.h"
+#include "fakes/pool_cell.h"
+#include "fmt/format.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using fakes::MakePoolJob;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A planner whose workers, store and advice service answer at once. */
+class WidePool : public testing::Test {
+ protected:
+  static constexpr size_t kWorkers = 240;
+  static constexpr int64_t kWallMs = 1'700'000'000'000;
+
+  void SetUp() override {
+    this->planner.SetQueues(this->queues, this->time);
+    this->planner.Load({}, {}, this->time);
+    for (size_t i = 0; i < kWorkers; ++i) {
+      this->planner.OnWorker(
+          {.worker = base::WorkerId(fmt::format("w{:03}", i)),
+           .service = base::ServiceId("desk"),
+           .total = {.millicores = 8000, .memory_mib = 8000},
+           .born_ms = 1},
+          this->time);
+    }
+    this->Step(20);
+  }
+
+  /** Lets time pass and answers everything that the planner asks. */
+  void Step(int times) {
+    for (int i = 0; i < times; ++i) {
+      this->time.now += milliseconds(30);
+      for (const Effect& effect : this->planner.Advance(this->time)) {
+        std::visit([this](const auto& value) { this->Answer(value); }, effect);
+      }
+    }
+  }
+
+  void Answer(const StoreCommit& commit) {
+    this->planner.OnCommit(commit.id, {.outcome = platform::Outcome::kDone},
+                           this->time);
+  }
+  void Answer(const ReviewOrder& order) {
+    this->planner.OnReview(order,
+                           {.verdict = WorkerVerdict::kDone,
+                            .worker_clock_ms = 1,
+                            .born_ms = 1,
+                            .running = this->running[order.worker]},
+                           this->time);
+  }
+  void Answer(const AdviceQuery& query) {
+    ++this->queries;
+    AdviceReply reply{.answered = true, .valid = seconds(60)};
+    for (const base::WorkerId& worker : query.workers) {
+      this->asked.insert(worker);
+      if (this->good.contains(worker)) reply.good.push_back({worker, "t"});
+    }
+    this->planner.OnAdvice(query.job, query.occurrence, query.step, reply,
+                           this->time);
+  }
+  void Answer(const StartOrder& order) {
+    this->started.insert(order.worker);
+    this->running[order.worker].push_back(
+        {.task = order.task, .run = order.run});
+    this->planner.OnStart(order.task, order.run,
+                          {.verdict = WorkerVerdict::kDone}, this->time);
+  }
+  template <typename Other>
+  void Answer(const Other& /*effect*/) {}
+
+  QueueTable queues{
+      .version = 1,
+      .queues = {{.name = "letters",
+                  .prefix = "/",
+                  .service = base::ServiceId("desk"),
+                  .priority = 1,
+                  .attempts = 4,
+                  .stretch = 4,
+                  .slack = seconds(10),
+                  .advice = AdvicePolicy{.decide = milliseconds(10),
+                                         .per_worker = milliseconds(1),
+                                         .valid = seconds(60)}}}};
+  timeline::DecisionLog log{"test"};
+  PlannerTime time{base::Instant(seconds(100)), kWallMs};
+  PoolPlanner planner{{.fence = 9}, this->log, this->time};
+  std::set<base::WorkerId> good;
+  std::set<base::WorkerId> asked;
+  std::set<base::WorkerId> started;
+  std::map<base::WorkerId, std::vector<RunningRow>> running;
+  int queries = 0;
+};
+
+TEST_F(WidePool, WorkIsSpreadOverAllWorkers) {
+  for (size_t i = 0; i < kWorkers; ++i) {
+    this->good.insert(base::WorkerId(fmt::format("w{:03}", i)));
+  }
+  for (int i = 0; i < 20; ++i) {
+    this->planner.Submit(i + 1,
+                         MakePoolJob(std::to_string(i), 10, 8000, seconds(60)),
+                         this->time);
+    this->Step(3);
+  }
+  EXPECT_EQ(this->started.size(), 200U);
+}
+
+TEST_F(WidePool, AStepWithoutAGoodWorkerAsksAboutTheOthers) {
+  this->good.insert(base::WorkerId("w239"));
+  this->planner.Submit(1, MakePoolJob("a", 1, 8000, seconds(60)), this->time);
+  this->Step(20);
+  EXPECT_EQ(this->started, std::set{base::WorkerId("w239")});
+  const int queries_until_started = this->queries;
+  this->Step(20);
+  EXPECT_EQ(this->queries, queries_until_started);
+}
+
+TEST_F(WidePool, NoWorkerIsAskedAboutTwiceForAStep) {
+  this->planner.Submit(1, MakePoolJob("a", 1, 8000, seconds(60)), this->time);
+  this->Step(60);
+  EXPECT_EQ(this->asked.size(), kWorkers);
+  EXPECT_TRUE(this->started.empty());
+  const int queries_for_all = this->queries;
+  this->Step(60);
+  EXPECT_EQ(this->queries, queries_for_all);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
