--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -86,7 +86,7 @@
                                     &Connection::OnWritten, this);
     this->timer =
         std::make_unique<LoopEvent>(client.loop.handle(), -1, 0, [this] {
-          this->End({Delivery::kUnknown, {}, "timeout"});
+          this->End({.delivery = Delivery::kUnknown, .fault = "timeout"});
         });
   }
 
@@ -180,8 +180,11 @@
   void EndWithFault() {
     const Delivery delivery =
         this->bytes_written == 0 ? Delivery::kNotSent : Delivery::kUnknown;
-    this->End(
-        {delivery, {}, this->fault.empty() ? "cannot connect" : this->fault});
+    // evhttp names no fault of a connection that could not be made.
+    const bool refused = delivery == Delivery::kNotSent && this->fault.empty();
+    this->End({.delivery = delivery,
+               .refused = refused,
+               .fault = refused ? "cannot connect" : this->fault});
   }
 
   void End(HttpOutcome outcome) {
@@ -202,7 +205,7 @@
   void ResetTimer() {
     this->timer =
         std::make_unique<LoopEvent>(this->client.loop.handle(), -1, 0, [this] {
-          this->End({Delivery::kUnknown, {}, "timeout"});
+          this->End({.delivery = Delivery::kUnknown, .fault = "timeout"});
         });
   }
 
--- a/src/agatepass/base/http_message.h
+++ b/src/agatepass/base/http_message.h
@@ -82,6 +82,8 @@
 struct HttpOutcome {
   Delivery delivery = Delivery::kNotSent;
   HttpAnswer answer;
+  /** Whether nobody listens at the address; the request was not sent then. */
+  bool refused = false;
   /** Why there is no answer, for logs. */
   std::string fault;
 };
--- a/src/agatepass/pool/election.cpp
+++ b/src/agatepass/pool/election.cpp
@@ -24,6 +24,7 @@
                              platform::Revision revision, base::Instant now) {
   // A read that is older than what is known already.
   if (revision != 0 && revision < this->seen_revision) return;
+  if (revision > this->seen_revision || !planner) this->lost_since.reset();
   if (revision != 0) this->seen_revision = revision;
   this->seen = std::move(planner);
   if (this->seen) {
@@ -35,6 +36,11 @@
   if (this->in_office() && !mine && revision != this->fence) this->Resign();
 }
 
+void Election::OnPlannerLost(platform::Revision revision, base::Instant now) {
+  if (this->in_office() || !this->seen || this->lost_since) return;
+  if (revision == this->seen_revision) this->lost_since = now;
+}
+
 ElectionStep Election::Next(base::Instant now) {
   if (this->waiting || now < this->next_step) return ElectionStep::kNothing;
   if (this->ending) {
@@ -54,13 +60,16 @@
     this->waiting = true;
     return ElectionStep::kRemoveKey;
   }
-  if (this->withdrawn || !this->vacant_since) return ElectionStep::kNothing;
-  if (now < *this->vacant_since + this->options.stand_delay) {
+  if (this->withdrawn || now < this->stands_from) return ElectionStep::kNothing;
+  const auto& since =
+      this->vacant_since ? this->vacant_since : this->lost_since;
+  if (!since || now < *since + this->options.stand_delay) {
     return ElectionStep::kNothing;
   }
   this->waiting = true;
-  return this->lease == 0 ? ElectionStep::kGrantLease
-                          : ElectionStep::kCreateKey;
+  if (this->lease == 0) return ElectionStep::kGrantLease;
+  this->replacing = !this->vacant_since;
+  return this->replacing ? ElectionStep::kReplaceKey : ElectionStep::kCreateKey;
 }
 
 void Election::OnLeaseGranted(platform::Outcome outcome, uint64_t id,
@@ -87,7 +96,11 @@
     case platform::Outcome::kRefused:
       // Another host was first, or the lease has ended.
       this->lease = 0;
-      this->vacant_since = now;
+      if (this->replacing) {
+        this->lost_since.reset();
+      } else {
+        this->vacant_since = now;
+      }
       this->next_step = now + this->options.retry;
       break;
     case platform::Outcome::kNotSent:
@@ -149,7 +162,9 @@
   this->seen = this->options.self;
   this->seen_revision = revision;
   this->vacant_since.reset();
-  this->next_renewal = now + this->options.renew_period;
+  this->lost_since.reset();
+  // The lease may have been granted a while ago.
+  this->next_renewal = now;
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/election.h
+++ b/src/agatepass/pool/election.h
@@ -42,6 +42,9 @@
   kGrantLease,
   /** Create the planner's key under the lease, if it does not exist. */
   kCreateKey,
+  /** Write the planner's key under the lease, if it is still that of the
+   * planner that was lost. */
+  kReplaceKey,
   /** Read the planner's key, to see whether an unanswered create was done. */
   kReadKey,
   /** Remove the key that an earlier process of this host has left, if it is
@@ -76,10 +79,29 @@
   explicit Election(ElectionOptions options) : options(std::move(options)) {}
 
   /** The store was seen to hold this planner, or none.
-   * \param revision revision at which the key was created; 0 for none. */
+   * \param revision revision of the key's latest change; 0 for none. */
   void OnPlannerSeen(std::optional<PlannerEntry> planner,
                      platform::Revision revision, base::Instant now);
 
+  /** The planner whose key has this revision is gone, or does not reach the
+   * store: its office may be taken before its lease lapses. */
+  void OnPlannerLost(platform::Revision revision, base::Instant now);
+
+  /** The planner works after all. */
+  void OnPlannerWorks() { this->lost_since.reset(); }
+
+  /** How long this host waits before it stands. */
+  void SetStandDelay(base::Duration delay) {
+    this->options.stand_delay = delay;
+  }
+
+  /** Leaves office to a better host, and does not stand again before `until`.
+   */
+  void StandBack(base::Instant until) {
+    this->stands_from = until;
+    this->Resign();
+  }
+
   /** Returns the step to take now; each one is returned once until its answer
    * has come. */
   ElectionStep Next(base::Instant now);
@@ -88,7 +110,8 @@
                       base::Instant now);
   void OnKeyCreated(platform::Outcome outcome, platform::Revision revision,
                     base::Instant now);
-  /** \param planner what the key holds, nothing if it does not exist. */
+  /** \param planner what the key holds, nothing if it does not exist.
+   * \param revision revision of the key's latest change. */
   void OnKeyRead(platform::Outcome outcome, std::optional<PlannerEntry> planner,
                  platform::Revision revision, base::Instant now);
   void OnKeyRemoved(platform::Outcome outcome, base::Instant now);
@@ -104,7 +127,7 @@
   /** Whether this host holds the office. */
   bool in_office() const { return this->fence != 0; }
 
-  /** Revision at which the planner's key as last seen was created. */
+  /** Revision of the planner's key as last seen. */
   platform::Revision planner_revision() const { return this->seen_revision; }
 
   /** Fence of the present term; 0 out of office. */
@@ -131,6 +154,12 @@
   platform::Revision seen_revision = 0;
   /** Since when no planner is seen. */
   std::optional<base::Instant> vacant_since;
+  /** Since when the planner seen is known to be lost. */
+  std::optional<base::Instant> lost_since;
+  /** Until then this host leaves the office to others. */
+  base::Instant stands_from;
+  /** Whether the write under way replaces a lost planner's key. */
+  bool replacing = false;
   bool waiting = false;
   bool withdrawn = false;
   bool create_unknown = false;
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -246,6 +246,9 @@
   JobPhase phase = JobPhase::kQueued;
   /** Of a question about a queue: jobs of which no task has started. */
   uint64_t pending = 0;
+  /** Whether the planner left office before it could answer: the next one may
+   * be asked. */
+  bool term_ended = false;
   /** Of a rejection: when trying again may help. */
   base::Duration retry_after{0};
   std::string detail;
--- a/src/agatepass/pool/open_calls.h
+++ b/src/agatepass/pool/open_calls.h
@@ -43,6 +43,7 @@
     for (const auto& [id, callback] : open) {
       callback({.call = id,
                 .code = base::ResultCode::kOutcomeUnknown,
+                .term_ended = true,
                 .detail = std::string(detail)});
     }
   }
--- a/src/agatepass/pool/peer_call.cpp
+++ b/src/agatepass/pool/peer_call.cpp
@@ -73,6 +73,9 @@
     case PeerVerb::kHello:
       request.query.push_back({"host", call.host.value});
       request.query.push_back({"endpoint", call.endpoint.ToString()});
+      request.query.push_back({"store", call.store_answers ? "1" : "0"});
+      request.query.push_back(
+          {"share", fmt::format("{}", call.processor_share)});
       break;
   }
   return request;
@@ -109,6 +112,10 @@
           base::ParseEndpoint(FindParameter(request, "endpoint"));
       if (!endpoint || call.host.empty()) return std::nullopt;
       call.endpoint = *endpoint;
+      call.processor_share =
+          base::ParseNumber<double>(FindParameter(request, "share"))
+              .value_or(0);
+      call.store_answers = FindParameter(request, "store") != "0";
       break;
     }
     default:
@@ -118,11 +125,12 @@
 }
 
 base::HttpAnswer EncodeCallerAnswer(const CallerAnswer& answer) {
-  const Json body = {{"code", static_cast<int>(answer.code)},
-                     {"phase", static_cast<int>(answer.phase)},
-                     {"pending", answer.pending},
-                     {"retry_us", answer.retry_after.count()},
-                     {"detail", answer.detail}};
+  Json body = {{"code", static_cast<int>(answer.code)},
+               {"phase", static_cast<int>(answer.phase)},
+               {"pending", answer.pending},
+               {"retry_us", answer.retry_after.count()},
+               {"detail", answer.detail}};
+  if (answer.term_ended) body["term_ended"] = true;
   return {.status = kHttpOk,
           .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)};
 }
@@ -139,6 +147,7 @@
     }
     result.phase = static_cast<JobPhase>(phase);
     result.pending = in.at("pending").get<uint64_t>();
+    result.term_ended = in.value("term_ended", false);
     result.retry_after = base::Duration(in.at("retry_us").get<int64_t>());
     result.detail = in.at("detail").get<std::string>();
     return result;
@@ -148,7 +157,11 @@
 }
 
 base::HttpAnswer EncodeHelloReply(const HelloReply& reply) {
-  Json body = {{"revision", reply.revision}, {"hosts", Json::array()}};
+  Json body = {{"revision", reply.revision},
+               {"configuration", reply.configuration},
+               {"hosts", Json::array()}};
+  if (reply.store_failing) body["store_failing"] = true;
+  if (reply.deputy) body["deputy"] = true;
   if (reply.planner) body["planner"] = EncodePlannerEntry(*reply.planner);
   for (const base::Endpoint& host : reply.hosts) {
     body["hosts"].push_back(host.ToString());
@@ -164,6 +177,9 @@
     HelloReply reply;
     reply.revision = in.at("revision").get<platform::Revision>();
     reply.planner = DecodePlannerEntry(in.value("planner", ""));
+    reply.configuration = in.value("configuration", uint64_t{0});
+    reply.store_failing = in.value("store_failing", false);
+    reply.deputy = in.value("deputy", false);
     for (const Json& host : in.at("hosts")) {
       const auto endpoint = base::ParseEndpoint(host.get<std::string>());
       if (endpoint) reply.hosts.push_back(*endpoint);
--- a/src/agatepass/pool/peer_call.h
+++ b/src/agatepass/pool/peer_call.h
@@ -32,8 +32,15 @@
 /** What a host answers to kHello: who plans, and which other hosts it knows. */
 struct HelloReply {
   std::optional<PlannerEntry> planner;
-  /** Revision at which the planner's key was created. */
+  /** Revision of the planner's key. */
   platform::Revision revision = 0;
+  /** Version of the configuration that the host goes by. */
+  uint64_t configuration = 0;
+  /** From the planner: whether the store does not take its commits. */
+  bool store_failing = false;
+  /** From the planner: whether the host should follow it closely, to take its
+   * office soon after it is gone. */
+  bool deputy = false;
   std::vector<base::Endpoint> hosts;
 };
 
@@ -53,6 +60,10 @@
   /** kHello. */
   base::HostId host;
   base::Endpoint endpoint;
+  /** kHello: part of a core that the host may use. */
+  double processor_share = 0;
+  /** kHello: whether the store answers the host. */
+  bool store_answers = true;
 };
 
 /** Renders a call. */
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr double kMillicoresInCore = 1000;
+
 /** Sum of the run times of all steps' tasks that wait, in millicore-seconds. */
 double WaitingWork(const JobState& job) {
   double work = 0;
@@ -112,7 +114,19 @@
       load.work_beside += work;
     }
   }
-  return RetryAfterOverload(load, job, queue);
+  const auto wait = RetryAfterOverload(load, job, queue);
+  if (wait) {
+    const auto [used, total] = this->Usage();
+    this->log.Add(now, "pool overloaded",
+                  "job={} priority={} usable_millicores={:.0f} "
+                  "in_use_millicores={} of={} before_core_s={:.0f} "
+                  "beside_core_s={:.0f} own_core_s={:.0f}",
+                  job.id.value, queue.priority, load.usable_millicores, used,
+                  total, load.work_before / kMillicoresInCore,
+                  load.work_beside / kMillicoresInCore,
+                  EstimatedWork(job) / kMillicoresInCore);
+  }
+  return wait;
 }
 
 bool PoolPlanner::FitsAnyWorker(const Job& job,
--- /dev/null
+++ b/src/agatepass/pool/planner_contact.h
@@ -0,0 +1,83 @@
+/** \file
+ * Whether the planner is gone, as far as one host can tell before the planner's
+ * lease lapses. It has no clock and no socket.
+ *
+ * Answers a planner that is killed, frozen or cut off: its office can be taken
+ * at once, as its fence keeps it from doing harm if it still works. A host that
+ * is cut off itself must not take it, so other hosts have to answer meanwhile.
+ */
+#ifndef AGATEPASS_POOL_PLANNER_CONTACT_H_
+#define AGATEPASS_POOL_PLANNER_CONTACT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+
+#include "agatepass/base/http_message.h"
+#include "agatepass/base/time.h"
+
+namespace agatepass::pool {
+
+/** One host's contact with the planner.
+ *
+ * \code
+ * PlannerContact contact;
+ * contact.OnFailure(true, now);              // Nobody listens there.
+ * contact.BeginCheck(5, now);                // Five other hosts are asked.
+ * contact.OnHostAnswer(host, now);           // ... three of them answer:
+ * if (contact.IsLost()) TakeItsOffice();
+ * \endcode
+ */
+class PlannerContact {
+ public:
+  /** Calls without an answer in a row that make the planner suspect; a refused
+   * connection does at once. */
+  static constexpr uint32_t kSilentCalls = 2;
+
+  /** Time between two checks of a planner that stays suspect. */
+  static constexpr base::Duration kCheckPeriod = std::chrono::milliseconds(300);
+
+  /** The planner answered, or another one is in office. */
+  void OnAnswer() { *this = PlannerContact(); }
+
+  /** A call to the planner got no answer.
+   * \param refused whether nobody listens at its address. */
+  void OnFailure(bool refused) {
+    this->silent_calls += refused ? kSilentCalls : 1;
+  }
+
+  /** Whether other hosts have to be asked now. */
+  bool WantsCheck(base::Instant now) const {
+    if (this->silent_calls < kSilentCalls || this->IsLost()) return false;
+    return !this->checked_at || now >= *this->checked_at + kCheckPeriod;
+  }
+
+  /** Other hosts, so many, are being asked. */
+  void BeginCheck(size_t hosts, base::Instant now) {
+    this->checked_at = now;
+    this->asked = hosts;
+    this->answered.clear();
+  }
+
+  /** Another host answered. */
+  void OnHostAnswer(const base::Endpoint& host) {
+    if (this->checked_at) this->answered.insert(host);
+  }
+
+  /** Whether the planner is silent while most hosts that were asked answer. */
+  bool IsLost() const {
+    return this->silent_calls >= kSilentCalls && this->asked > 0 &&
+           2 * this->answered.size() > this->asked;
+  }
+
+ private:
+  uint32_t silent_calls = 0;
+  std::optional<base::Instant> checked_at;
+  size_t asked = 0;
+  std::set<base::Endpoint> answered;
+};
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_PLANNER_CONTACT_H_
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -138,6 +138,11 @@
   /** Stops accepting and starting, for a hand-over. */
   void Retire() { this->retiring = true; }
 
+  /** Whether the store does not take this planner's commits. */
+  bool IsStoreFailing(base::Instant now) const {
+    return this->store_health.IsFailing(now);
+  }
+
   /** Processors in use and present, in millicores. */
   std::pair<int64_t, int64_t> Usage() const;
 
--- a/src/agatepass/pool/store_health.h
+++ b/src/agatepass/pool/store_health.h
@@ -22,6 +22,10 @@
    * store is well. */
   static constexpr uint32_t kFailuresInRow = 3;
 
+  /** Failures in a row after which another host may do better. */
+  static constexpr uint32_t kFailuresToDoubt = 2;
+  static constexpr base::Duration kTimeToDoubt = std::chrono::milliseconds(350);
+
   static constexpr base::Duration kShortestRetry = std::chrono::seconds(1);
   static constexpr base::Duration kLongestRetry = std::chrono::seconds(4);
 
@@ -37,6 +41,13 @@
   /** Whether new jobs would not be stored. */
   bool IsDown() const { return this->failures >= kFailuresInRow; }
 
+  /** Whether commits have failed for a while, perhaps only from this host. A
+   * store that loses some answers takes others meanwhile. */
+  bool IsFailing(base::Instant now) const {
+    return this->failures >= kFailuresToDoubt &&
+           now - this->failing_since >= kTimeToDoubt;
+  }
+
   /** When a caller may come back: an outage is taken to last as long again as
    * it has lasted. */
   base::Duration RetryAfter(base::Instant now) const {
--- a/src/agatepass/pool/tests/election_test.cpp
+++ b/src/agatepass/pool/tests/election_test.cpp
@@ -98,6 +98,65 @@
   EXPECT_EQ(this->election.Next(this->now), ElectionStep::kGrantLease);
 }
 
+TEST_F(ElectionTest, ALostPlannersKeyIsReplaced) {
+  this->election.SetStandDelay(milliseconds(50));
+  this->election.OnPlannerSeen(kOther, 7, this->now);
+  this->election.OnPlannerLost(7, this->now);
+  EXPECT_EQ(this->election.Next(this->now), ElectionStep::kNothing);
+  this->now += milliseconds(50);
+  ASSERT_EQ(this->election.Next(this->now), ElectionStep::kGrantLease);
+  this->election.OnLeaseGranted(Outcome::kDone, 5, this->now);
+  ASSERT_EQ(this->election.Next(this->now), ElectionStep::kReplaceKey);
+  EXPECT_EQ(this->election.planner_revision(), 7U);
+  this->election.OnKeyCreated(Outcome::kDone, 9, this->now);
+  EXPECT_EQ(this->election.term(), 9U);
+  // The lease was granted before: it is renewed at once.
+  EXPECT_EQ(this->election.Next(this->now), ElectionStep::kRenewLease);
+}
+
+TEST_F(ElectionTest, APlannerThatWorksAfterAllStays) {
+  this->election.OnPlannerSeen(kOther, 7, this->now);
+  this->election.OnPlannerLost(7, this->now);
+  this->election.OnPlannerWorks();
+  EXPECT_EQ(this->election.Next(this->now + seconds(1)),
+            ElectionStep::kNothing);
+}
+
+TEST_F(ElectionTest, AnotherPlannersLossIsOldNews) {
+  this->election.OnPlannerSeen(kOther, 9, this->now);
+  this->election.OnPlannerLost(7, this->now);
+  EXPECT_EQ(this->election.Next(this->now + seconds(1)),
+            ElectionStep::kNothing);
+  this->election.OnPlannerLost(9, this->now);
+  this->election.OnPlannerSeen(kOther, 12, this->now);
+  EXPECT_EQ(this->election.Next(this->now + seconds(1)),
+            ElectionStep::kNothing);
+}
+
+TEST_F(ElectionTest, OfTwoHostsThatReplaceAPlannerOneGivesUp) {
+  this->election.OnPlannerSeen(kOther, 7, this->now);
+  this->election.OnPlannerLost(7, this->now);
+  this->election.Next(this->now);
+  this->election.OnLeaseGranted(Outcome::kDone, 5, this->now);
+  this->election.Next(this->now);
+  this->election.OnKeyCreated(Outcome::kRefused, 0, this->now);
+  EXPECT_FALSE(this->election.in_office());
+  EXPECT_EQ(this->election.Next(this->now + seconds(1)),
+            ElectionStep::kNothing);
+}
+
+TEST_F(ElectionTest, AHostThatStandsBackLeavesTheOfficeToOthers) {
+  this->TakeOffice();
+  this->election.StandBack(this->now + seconds(5));
+  ASSERT_EQ(this->election.Next(this->now), ElectionStep::kEndLease);
+  this->election.OnLeaseEnded();
+  this->election.OnPlannerSeen(std::nullopt, 0, this->now);
+  EXPECT_EQ(this->election.Next(this->now + seconds(1)),
+            ElectionStep::kNothing);
+  EXPECT_EQ(this->election.Next(this->now + seconds(6)),
+            ElectionStep::kGrantLease);
+}
+
 TEST_F(ElectionTest, EntriesSurviveTheStore) {
   EXPECT_EQ(DecodePlannerEntry(EncodePlannerEntry(kSelf)), kSelf);
   EXPECT_EQ(DecodePlannerEntry("a b c"), std::nullopt);
--- /dev/null
+++ b/src/agatepass/pool/tests/host_ranking_test.cpp
@@ -0,0 +1,37 @@
+// Which hosts plan on cells whose hosts differ.
+#include "agatepass/pool/host_ranking.h"
+
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(HostRanking, MoreProcessorStandsSoonerThanLess) {
+  EXPECT_LT(StandDelay(0.5, milliseconds(7), 1),
+            StandDelay(0.12, milliseconds(7), 0));
+}
+
+TEST(HostRanking, EqualHostsNearTheStoreStandSooner) {
+  EXPECT_LT(StandDelay(0.25, milliseconds(6), 1),
+            StandDelay(0.25, milliseconds(20), 0));
+}
+
+TEST(HostRanking, ASlightlyBetterHostIsNoReasonToLeaveOffice) {
+  EXPECT_FALSE(IsMuchBetter({.processor_share = 0.3}, 0.25));
+  EXPECT_TRUE(IsMuchBetter({.processor_share = 0.5}, 0.25));
+}
+
+TEST(HostRanking, TheBestHostsFollowThePlanner) {
+  const std::vector<PlannerCandidate> hosts = {{{"10.0.0.1", 1}, 0.12},
+                                               {{"10.0.0.2", 1}, 0.5},
+                                               {{"10.0.0.3", 1}, 0.12},
+                                               {{"10.0.0.4", 1}, 0.25}};
+  EXPECT_EQ(ChooseDeputies(hosts, 2),
+            (std::vector<base::Endpoint>{{"10.0.0.2", 1}, {"10.0.0.4", 1}}));
+  EXPECT_EQ(ChooseDeputies(hosts, 9).size(), 4U);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/tests/office_term_test.cpp
@@ -0,0 +1,35 @@
+// A term of office ends once.
+#include "agatepass/pool/office_term.h"
+
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+TEST(OfficeTerm, EndsOnce) {
+  OfficeTerm term;
+  term.Begin(5);
+  EXPECT_TRUE(term.End(5));
+  EXPECT_FALSE(term.End(5));
+  EXPECT_EQ(term.fence(), 0U);
+}
+
+TEST(OfficeTerm, ANoticeMadeAfterTheEndEndsNothing) {
+  // A planner that is still being taken down learns of a higher fence.
+  OfficeTerm term;
+  term.Begin(5);
+  ASSERT_TRUE(term.End(5));
+  EXPECT_FALSE(term.End(term.fence()));
+}
+
+TEST(OfficeTerm, ANoticeOfAnEarlierTermEndsNothing) {
+  OfficeTerm term;
+  term.Begin(5);
+  term.End(5);
+  term.Begin(9);
+  EXPECT_FALSE(term.End(5));
+  EXPECT_EQ(term.fence(), 9U);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- a/src/agatepass/pool/tests/store_health_test.cpp
+++ b/src/agatepass/pool/tests/store_health_test.cpp
@@ -6,6 +6,7 @@
 namespace agatepass::pool {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 TEST(StoreHealth, SingleLostAnswersAreNoOutage) {
@@ -35,5 +36,17 @@
   EXPECT_EQ(health.RetryAfter(base::Instant(seconds(60))), seconds(4));
 }
 
+TEST(StoreHealth, FailuresInARowForAWhileMakeItFailing) {
+  StoreHealth health;
+  const base::Instant now{seconds(10)};
+  health.OnFailure(now);
+  EXPECT_FALSE(health.IsFailing(now + seconds(1)));
+  health.OnFailure(now + milliseconds(100));
+  EXPECT_FALSE(health.IsFailing(now + milliseconds(100)));
+  EXPECT_TRUE(health.IsFailing(now + milliseconds(400)));
+  health.OnAnswer();
+  EXPECT_FALSE(health.IsFailing(now + milliseconds(400)));
+}
+
 }  // namespace
 }  // namespace agatepass::pool
