Forget workers that are gone, so that no takeover waits for them; room for gangs

Cause: the stored note of workers that may have runs was rewritten only when a new worker came. Change: a forgotten worker, and one unread past its lease, leave the note. Gangs keep room for up to four at once, on workers of their own; where the wait would be long, checkpointing tasks of lower queues give way, twice at the most. A router's attempt counts one answer only. Tests: AWorkerThatIsLongGoneHoldsNothingUp (fails without the change), GangRoom.

--- a/src/agatepass/pool/call_router.cpp
+++ b/src/agatepass/pool/call_router.cpp
@@ -46,7 +46,8 @@
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return nullptr;
   // The answer of a planner that was replaced comes too late.
-  return found->second.attempt == attempt ? &found->second : nullptr;
+  Call& present = found->second;
+  return present.attempt == attempt && present.asked != 0 ? &present : nullptr;
 }
 
 void CallRouter::Wait(Call& call, base::Duration longest, base::Duration retry,
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -196,7 +196,7 @@
     this->Answer(call, base::ResultCode::kNotFound);
   }
   for (const auto& step : job.steps) this->ReleaseReservation(*step);
-  if (this->hold && this->hold->step->job == &job) this->hold.reset();
+  this->DropHolds(job);
   this->open.erase(job.job.id);
   this->unwritten.Remove(job.job.id);
   this->jobs.erase(base::JobId(job.job.id));
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -120,11 +120,12 @@
 
 void PoolPlanner::AddWorkersNote(StoreCommit& commit, SentCommit& sent) {
   if (this->noting_workers) return;
-  bool missing = false;
-  for (const auto& [id, worker] : this->workers) {
-    if (worker->listed && !worker->noted) missing = true;
-  }
-  if (!missing) return;
+  const bool missing = std::any_of(
+      this->workers.begin(), this->workers.end(), [](const auto& entry) {
+        return entry.second->listed && !entry.second->noted;
+      });
+  if (!missing && !this->note_is_stale) return;
+  this->note_is_stale = false;
   std::string note;
   for (const auto& [id, worker] : this->workers) {
     sent.workers.push_back(id);
@@ -136,6 +137,7 @@
     if (!this->workers.contains(id)) note += id.value + '\n';
   }
   this->noting_workers = true;
+  sent.has_note = true;
   commit.writes.push_back({.key = kWorkersKey,
                            .value = std::move(note),
                            .expected = this->note_revision});
@@ -169,7 +171,7 @@
   for (const auto& [id, changes] : sent.progressed) {
     this->being_written.erase(id);
   }
-  if (!sent.workers.empty()) this->noting_workers = false;
+  if (sent.has_note) this->noting_workers = false;
   const bool answered = reply.outcome == platform::Outcome::kDone ||
                         reply.outcome == platform::Outcome::kRefused;
   if (answered) this->store_health.OnAnswer();
@@ -227,7 +229,7 @@
 void PoolPlanner::FinishCommit(const SentCommit& sent,
                                platform::Revision revision,
                                const PlannerTime& time) {
-  if (!sent.workers.empty()) this->note_revision = revision;
+  if (sent.has_note) this->note_revision = revision;
   for (const base::JobId& id : sent.created) {
     const auto job = this->jobs.find(id);
     if (job != this->jobs.end()) this->MarkCreated(*job->second, time);
@@ -267,6 +269,8 @@
                   platform::OutcomeName(outcome), sent.created.size(),
                   sent.progressed.size());
   }
+  // It may name a worker that is gone, whose successor would wait for it.
+  if (sent.has_note) this->note_is_stale = true;
   for (const auto& [id, changes] : sent.progressed) {
     const auto found = this->jobs.find(id);
     if (found != this->jobs.end()) this->QueueWrite(*found->second);
--- a/src/agatepass/pool/planner_decide.cpp
+++ b/src/agatepass/pool/planner_decide.cpp
@@ -5,25 +5,12 @@
 #include <utility>
 
 #include "agatepass/pool/pool_planner.h"
+#include "agatepass/pool/urgency.h"
 
 namespace agatepass::pool {
 
 namespace {
 
-/** A job is worth something up to this many times its objective. */
-constexpr int kWorthTimes = 3;
-
-/** Room that is kept for one gang at most this long. */
-constexpr base::Duration kLongestHold = std::chrono::seconds(4);
-
-/** How work is ranked at a moment, most pressing first. */
-enum class Urgency : uint8_t {
-  kUrgent,
-  kInTime,
-  kLate,
-  kWorthless,
-};
-
 /** Returns the estimated time from the beginning of a step to the job's end. */
 base::Duration RemainingChain(const StepState& step) {
   base::Duration remaining{0};
@@ -44,29 +31,6 @@
   return remaining;
 }
 
-Urgency UrgencyOf(const StepState& step, base::Instant now) {
-  const JobState& job = *step.job;
-  if (step.definition->long_running) return Urgency::kUrgent;
-  const base::Duration objective = job.objective - job.accepted_at;
-  if (now > job.accepted_at + kWorthTimes * objective) {
-    return Urgency::kWorthless;
-  }
-  if (now > job.objective) return Urgency::kLate;
-  return job.priority == 0 ? Urgency::kUrgent : Urgency::kInTime;
-}
-
-/** Returns how many tasks of a step fit into a room, at most `most`. */
-uint32_t CountFits(const Step& step, platform::Resources room, uint32_t most) {
-  platform::Resources need = step.need;
-  if (step.uses_idle_processors) need.millicores = 0;
-  uint32_t fits = 0;
-  while (fits < most && need.FitsIn(room)) {
-    room -= need;
-    ++fits;
-  }
-  return fits;
-}
-
 uint32_t RunsOnWorker(const StepState& step, const WorkerState& worker) {
   uint32_t count = 0;
   for (const RunState* run : worker.runs) {
@@ -78,7 +42,9 @@
 }  // namespace
 
 void PoolPlanner::Decide(const PlannerTime& time) {
-  if (this->hold && time.now >= this->hold->until) this->hold.reset();
+  std::erase_if(this->holds, [&time](const GangHold& hold) {
+    return time.now >= hold.until;
+  });
   for (StepState* step : this->ReadySteps(time)) {
     if (!step->reserved.empty() && time.now >= step->reserved_until) {
       this->ReleaseReservation(*step);
@@ -160,12 +126,13 @@
   if (!this->IsSuitable(worker, step)) return false;
   if (!worker.reviewed || !worker.noted || !worker.clock_ms) return false;
   if (time.now < worker.shunned_until) return false;
-  if (this->hold && this->hold->step != &step && step.job->priority > 0 &&
-      this->hold->workers.contains(&worker) &&
-      time.now + step.definition->estimate > this->hold->until) {
-    return false;
-  }
-  return true;
+  if (step.job->priority == 0) return true;
+  const base::Instant end = time.now + step.definition->estimate;
+  return std::none_of(this->holds.begin(), this->holds.end(),
+                      [&](const GangHold& hold) {
+                        return hold.step != &step && end > hold.until &&
+                               hold.workers.contains(&worker);
+                      });
 }
 
 uint32_t PoolPlanner::FitsOn(const WorkerState& worker,
@@ -250,61 +217,6 @@
   if (planned > 0) this->ReserveAndAsk(step, expired, time);
 }
 
-void PoolPlanner::PlaceGang(StepState& step, std::vector<Candidate> candidates,
-                            const PlannerTime& time) {
-  RunNumber run = 0;
-  for (const TaskState& task : step.tasks) {
-    run = std::max(run, task.last_run);
-    if (time.now < task.not_before) return;
-  }
-  ++run;
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const Candidate& left, const Candidate& right) {
-                     return left.fits > right.fits;
-                   });
-  if (step.definition->same_rack) {
-    std::map<base::RackId, uint32_t> room;
-    for (const Candidate& candidate : candidates) {
-      room[candidate.worker->rack] += candidate.fits;
-    }
-    for (const auto& [rack, fits] : room) {
-      if (fits < step.tasks.size()) continue;
-      std::erase_if(candidates, [&rack = rack](const Candidate& candidate) {
-        return candidate.worker->rack != rack;
-      });
-      break;
-    }
-  }
-  std::vector<std::pair<WorkerState*, uint32_t>> plan;
-  uint32_t left = static_cast<uint32_t>(step.tasks.size());
-  bool valid = true;
-  for (const Candidate& candidate : candidates) {
-    if (left == 0) break;
-    const uint32_t taken = std::min(left, candidate.fits);
-    plan.emplace_back(candidate.worker, taken);
-    valid = valid && candidate.ticket_valid;
-    left -= taken;
-  }
-  if (left > 0) {
-    if (!this->hold) this->HoldForGang(step, time);
-    return;
-  }
-  if (!valid) {
-    this->ReserveAndAsk(step, plan, time);
-    return;
-  }
-  if (this->hold && this->hold->step == &step) this->hold.reset();
-  std::string saved;
-  for (const TaskState& task : step.tasks) saved = std::max(saved, task.saved);
-  uint32_t index = 0;
-  for (const auto& [worker, count] : plan) {
-    for (uint32_t i = 0; i < count; ++i, ++index) {
-      step.tasks[index].saved = saved;
-      this->StartTask(step, index, run, *worker, time);
-    }
-  }
-}
-
 void PoolPlanner::StartTask(StepState& step, uint32_t index, RunNumber number,
                             WorkerState& worker, const PlannerTime& time) {
   JobState& job = *step.job;
@@ -336,57 +248,6 @@
                                      .lease_until_ms = lease.value_or(0)});
 }
 
-void PoolPlanner::HoldForGang(StepState& step, const PlannerTime& time) {
-  if (UrgencyOf(step, time.now) > Urgency::kInTime) return;
-  // The instant at which enough of the running work should have ended.
-  struct Release {
-    base::Instant at;
-    WorkerState* worker = nullptr;
-    platform::Resources need;
-  };
-  std::vector<Release> releases;
-  std::map<WorkerState*, platform::Resources> room;
-  uint32_t fits = 0;
-  const auto count = [&step](const platform::Resources& available) {
-    return CountFits(*step.definition, available,
-                     static_cast<uint32_t>(step.tasks.size()));
-  };
-  const bool advised = this->NeedsAdvice(step);
-  for (const auto& [id, worker] : this->workers) {
-    if (advised && !step.advice.good.contains(id)) continue;
-    if (!this->IsUsable(*worker, step, time)) continue;
-    room[worker.get()] = worker->Room();
-    fits += count(worker->Room());
-    for (const RunState* run : worker->runs) {
-      releases.push_back({run->expected_end, worker.get(), run->need});
-    }
-  }
-  std::sort(releases.begin(), releases.end(),
-            [](const Release& left, const Release& right) {
-              return left.at < right.at;
-            });
-  for (const Release& release : releases) {
-    platform::Resources& available = room[release.worker];
-    fits -= count(available);
-    available += release.need;
-    fits += count(available);
-    if (fits < step.tasks.size()) continue;
-    if (release.at > time.now + kLongestHold) return;
-    GangHold held{.step = &step,
-                  .until = std::max(release.at, time.now) +
-                           std::chrono::milliseconds(300)};
-    for (const auto& [worker, free] : room) {
-      if (count(free) > 0) held.workers.insert(worker);
-    }
-    this->log.Add(time.now, "room kept for a gang",
-                  "job={} step={} workers={} until_ms={}",
-                  step.job->job.id.value, step.number, held.workers.size(),
-                  base::ToMilliseconds(held.until - time.now));
-    this->hold = std::move(held);
-    return;
-  }
-}
-
 void PoolPlanner::ReserveAndAsk(
     StepState& step, std::span<const std::pair<WorkerState*, uint32_t>> plan,
     const PlannerTime& time) {
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -194,7 +194,7 @@
                 job.job.id.value, job.job.queue, JobPhaseName(phase),
                 base::ToMilliseconds(time.now - job.accepted_at),
                 base::ToMilliseconds(job.objective - job.accepted_at));
-  if (this->hold && this->hold->step->job == &job) this->hold.reset();
+  this->DropHolds(job);
   for (const auto& step : job.steps) {
     this->ReleaseReservation(*step);
     if (phase == JobPhase::kSucceeded) continue;
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -352,12 +352,16 @@
       continue;
     }
     if (!worker.runs.empty()) this->LoseRuns(worker, "its lease lapsed", time);
-    const bool kept_for = this->hold && this->hold->workers.contains(&worker);
+    const bool kept_for = std::any_of(this->holds.begin(), this->holds.end(),
+                                      [&worker](const GangHold& hold) {
+                                        return hold.workers.contains(&worker);
+                                      });
     const bool forget = !worker.listed && !worker.review_in_flight &&
                         !kept_for && worker.reserved == platform::Resources{};
     if (forget) {
       this->log.Add(time.now, "worker forgotten", "worker={}",
                     entry->first.value);
+      this->note_is_stale = this->note_is_stale || worker.noted;
       entry = this->workers.erase(entry);
     } else {
       ++entry;
@@ -365,6 +369,17 @@
   }
 }
 
+void PoolPlanner::DropSafeInherited(base::Instant now) {
+  if (this->unread.empty() || now < this->inherited_safe_at) return;
+  // A worker that is not listed now has nothing left that a successor would
+  // have to wait for.
+  const size_t before = this->unread.size();
+  std::erase_if(this->unread, [this](const base::WorkerId& id) {
+    return !this->workers.contains(id);
+  });
+  if (this->unread.size() < before) this->note_is_stale = true;
+}
+
 bool PoolPlanner::MayStartInherited(base::Instant now) const {
   if (now >= this->inherited_safe_at) return true;
   return this->unread.empty();
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -132,6 +132,7 @@
 std::vector<Effect> PoolPlanner::Advance(const PlannerTime& time) {
   if (!this->deposed) {
     this->DropLapsedWorkers(time);
+    this->DropSafeInherited(time.now);
     this->SendStops(time);
     if (!this->retiring && (this->decide || time.now >= this->next_decision)) {
       this->decide = false;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -63,6 +63,8 @@
   uint64_t failures = 0;
   uint64_t workers_lost = 0;
   uint64_t runs_moved = 0;
+  /** Runs stopped to make room for gangs of queues that come first. */
+  uint64_t runs_preempted = 0;
   uint64_t advice_queries = 0;
   uint64_t commits = 0;
 };
@@ -160,6 +162,8 @@
     /** Jobs whose progress was written, with the changes it covers. */
     std::vector<std::pair<base::JobId, uint64_t>> progressed;
     std::vector<base::JobId> removed;
+    /** Whether the note of the workers was written, with these among others. */
+    bool has_note = false;
     std::vector<base::WorkerId> workers;
   };
 
@@ -232,6 +236,7 @@
   void AdoptRow(WorkerState& worker, const RunningRow& row,
                 const PlannerTime& time);
   void DropLapsedWorkers(const PlannerTime& time);
+  void DropSafeInherited(base::Instant now);
   bool MayStartInherited(base::Instant now) const;
   void LeaveOffice(std::string reason);
 
@@ -270,16 +275,32 @@
   uint32_t FitsOnEmpty(const WorkerState& worker, const StepState& step) const;
   void PlaceTasks(StepState& step, std::vector<Candidate> candidates,
                   const PlannerTime& time);
-  void PlaceGang(StepState& step, std::vector<Candidate> candidates,
-                 const PlannerTime& time);
   void StartTask(StepState& step, uint32_t index, RunNumber run,
                  WorkerState& worker, const PlannerTime& time);
-  void HoldForGang(StepState& step, const PlannerTime& time);
   void ReserveAndAsk(StepState& step,
                      std::span<const std::pair<WorkerState*, uint32_t>> plan,
                      const PlannerTime& time);
   void ReleaseReservation(StepState& step);
 
+  // planner_gangs.cpp
+  void PlaceGang(StepState& step, std::vector<Candidate> candidates,
+                 const PlannerTime& time);
+  void DropHold(const StepState& step);
+  void DropHolds(const JobState& job);
+  /** Workers on which the gang's members may start now or later. */
+  std::vector<WorkerState*> GangWorkers(const StepState& step,
+                                        const PlannerTime& time);
+  /** Keeps room that becomes free soon, or has lower queues give way. */
+  void MakeRoomForGang(StepState& step, const PlannerTime& time);
+  std::optional<GangHold> FindHold(StepState& step,
+                                   const std::vector<WorkerState*>& workers,
+                                   const PlannerTime& time);
+  std::optional<GangHold> PreemptForGang(
+      StepState& step, const std::vector<WorkerState*>& workers,
+      const PlannerTime& time);
+  bool MayGiveWay(const RunState& run, const StepState& gang,
+                  const PlannerTime& time) const;
+
   // planner_advice.cpp
   bool NeedsAdvice(const StepState& step) const;
   void AskAdvice(StepState& step, std::vector<base::WorkerId> workers,
@@ -317,6 +338,8 @@
   std::map<uint64_t, SentCommit> commits;
   std::set<base::JobId> being_written;
   bool noting_workers = false;
+  /** Whether the stored note names workers that are gone. */
+  bool note_is_stale = false;
   platform::Revision note_revision = 0;
   uint64_t next_commit_id = 1;
   base::Instant last_commit;
@@ -324,7 +347,7 @@
   base::Instant next_commit;
   StoreHealth store_health;
   base::Instant next_removal;
-  std::optional<GangHold> hold;
+  std::vector<GangHold> holds;
   std::vector<Effect> effects;
 };
 
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -74,6 +74,8 @@
   std::vector<RunNumber> failed_runs;
   std::string saved;
   RunState* active = nullptr;
+  /** Times that it gave way to gangs. */
+  uint32_t preemptions = 0;
   /** Worker of the latest failure, avoided by the next run. */
   base::WorkerId failed_on;
   base::Instant not_before;
--- /dev/null
+++ b/src/agatepass/pool/tests/gang_room_test.cpp
@@ -0,0 +1,81 @@
+// Room for gangs on a pool full of bulk work.
+#include "fakes/pool_cell.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using fakes::MakePoolJob;
+using fakes::PoolCell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A cell with a queue that comes before "letters". */
+class GangRoom : public testing::Test {
+ protected:
+  void SetUp() override {
+    Queue packs = this->cell.queues.queues[0];
+    packs.name = "packs";
+    packs.prefix = "/packs/";
+    packs.priority = 0;
+    this->cell.queues.queues.push_back(packs);
+    this->cell.ReplacePlanner();
+  }
+
+  void FillWithLetters(bool checkpoint) {
+    for (int i = 0; i < 4; ++i) {
+      Job job = MakePoolJob(std::to_string(i), 8, 1000, seconds(8));
+      job.steps[0].checkpoint = checkpoint;
+      this->cell.Submit(job);
+    }
+    this->cell.RunFor(seconds(1));
+  }
+
+  void SubmitGang() {
+    Job job = MakePoolJob("gang", 4, 4000, seconds(1));
+    job.queue = "packs";
+    job.steps[0].gang = true;
+    this->cell.Submit(job);
+  }
+
+  PoolCell cell{1, 4};
+};
+
+TEST_F(GangRoom, TasksThatSaveTheirProgressGiveWay) {
+  this->FillWithLetters(true);
+  this->SubmitGang();
+  this->cell.RunFor(seconds(4));
+  EXPECT_EQ(this->cell.StoredPhase(base::JobId("gang")), JobPhase::kSucceeded);
+  this->cell.RunFor(seconds(40));
+  EXPECT_EQ(this->cell.UnfinishedJobs(), std::vector<base::JobId>());
+  EXPECT_EQ(this->cell.violations(), std::vector<std::string>());
+}
+
+TEST_F(GangRoom, TasksThatWouldLoseTheirWorkGoOn) {
+  this->FillWithLetters(false);
+  this->SubmitGang();
+  this->cell.RunFor(seconds(4));
+  EXPECT_EQ(this->cell.planner()->counts().runs_preempted, 0U);
+  this->cell.RunFor(seconds(40));
+  EXPECT_EQ(this->cell.UnfinishedJobs(), std::vector<base::JobId>());
+  EXPECT_EQ(this->cell.violations(), std::vector<std::string>());
+}
+
+TEST_F(GangRoom, ATaskGivesWayAFewTimesOnly) {
+  this->FillWithLetters(true);
+  for (int i = 0; i < 12; ++i) {
+    Job job = MakePoolJob("gang" + std::to_string(i), 8, 3000, seconds(1));
+    job.queue = "packs";
+    job.steps[0].gang = true;
+    this->cell.Submit(job);
+    this->cell.RunFor(milliseconds(700));
+  }
+  // 32 tasks, twice each at the most.
+  EXPECT_LE(this->cell.planner()->counts().runs_preempted, 64U);
+  this->cell.RunFor(seconds(60));
+  EXPECT_EQ(this->cell.UnfinishedJobs(), std::vector<base::JobId>());
+  EXPECT_EQ(this->cell.violations(), std::vector<std::string>());
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -160,5 +160,23 @@
   EXPECT_EQ(cell.Starts({base::JobId("0"), 0, 0, 0}), 1);
 }
 
+TEST(TakeoverInTheCell, AWorkerThatIsLongGoneHoldsNothingUp) {
+  PoolCell cell(1, 3);
+  cell.RunFor(seconds(1));
+  cell.faults.cut_off.insert(base::WorkerId("w2"));
+  cell.Unlist(2);
+  cell.RunFor(seconds(20));
+  for (int i = 0; i < 4; ++i) {
+    cell.Submit(MakePoolJob(std::to_string(i), 8, 4000, seconds(1)));
+  }
+  cell.RunFor(milliseconds(500));
+  cell.KillPlanner(milliseconds(200));
+  // Work of 32 tasks, four at a time: nearly all of it ends while a planner
+  // that waited for the lost worker's lease would still start nothing.
+  cell.RunFor(seconds(8));
+  EXPECT_EQ(cell.UnfinishedJobs(), std::vector<base::JobId>());
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace agatepass::pool
