--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -105,7 +105,9 @@
   std::vector<pool::StoredJob> jobs;
   for (const auto& [key, item] : this->store) {
     if (!key.starts_with(pool::kJobPrefix)) continue;
-    pool::StoredJob job{.job = *pool::DecodeJob(item.value)};
+    const base::JobId id(std::string_view(key).substr(
+        std::string_view(pool::kJobPrefix).size()));
+    pool::StoredJob job{.job = *pool::DecodeJobRecord(id, item.value)};
     const auto progress = this->store.find(pool::ProgressKey(job.job.id));
     if (progress != this->store.end()) {
       job.progress = *pool::DecodeProgress(progress->second.value);
@@ -426,6 +428,11 @@
                                       : found->second;
 }
 
+std::string PoolCell::StoredValue(const std::string& key) const {
+  const auto found = this->store.find(key);
+  return found == this->store.end() ? "" : found->second.value;
+}
+
 bool PoolCell::IsStored(const base::JobId& job) const {
   return this->store.contains(pool::JobKey(job));
 }
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -78,6 +78,9 @@
   /** Phase that the store holds of a job; queued if it holds none. */
   pool::JobPhase StoredPhase(const base::JobId& job) const;
 
+  /** What the store holds at a key; empty if it does not exist. */
+  std::string StoredValue(const std::string& key) const;
+
   /** Whether the store holds the job. */
   bool IsStored(const base::JobId& job) const;
 
--- a/src/agatepass/pool/host_ranking.cpp
+++ b/src/agatepass/pool/host_ranking.cpp
@@ -47,6 +47,7 @@
       });
   if (ranked.size() > most) ranked.resize(most);
   std::vector<base::Endpoint> deputies;
+  deputies.reserve(ranked.size());
   for (const PlannerCandidate& host : ranked) deputies.push_back(host.endpoint);
   return deputies;
 }
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -12,6 +12,11 @@
 /** How often jobs past their time are looked for. */
 constexpr base::Duration kRemovalPeriod = std::chrono::seconds(1);
 
+/** How often definitions of final jobs are cut down, and in how many commits at
+ * the most. */
+constexpr base::Duration kCutDownPeriod = std::chrono::milliseconds(500);
+constexpr int kMostCutDownCommits = 4;
+
 /** Jobs removed at a time, so that removals stay behind other writes. */
 constexpr size_t kMostRemovals = 15;
 
@@ -245,6 +250,7 @@
     }
     if (job.changes > job.stored_changes) this->QueueWrite(job);
     if (!IsFinal(job.stored_phase)) continue;
+    if (!std::exchange(job.cut_down, true)) this->final_whole.push_back(id);
     for (const CallId call : std::exchange(job.waiting_cancels, {})) {
       this->Answer(call, base::ResultCode::kOk);
     }
@@ -269,6 +275,8 @@
                   platform::OutcomeName(outcome), sent.created.size(),
                   sent.progressed.size());
   }
+  this->final_whole.insert(this->final_whole.end(), sent.cut_down.begin(),
+                           sent.cut_down.end());
   // It may name a worker that is gone, whose successor would wait for it.
   if (sent.has_note) this->note_is_stale = true;
   for (const auto& [id, changes] : sent.progressed) {
@@ -316,6 +324,29 @@
   }
 }
 
+void PoolPlanner::CutDownFinal(const PlannerTime& time) {
+  if (time.now < this->next_cut_down) return;
+  this->next_cut_down = time.now + kCutDownPeriod;
+  if (this->store_health.IsDown()) return;
+  for (int i = 0; i < kMostCutDownCommits && !this->final_whole.empty(); ++i) {
+    StoreCommit commit{.id = this->next_commit_id++};
+    SentCommit sent;
+    while (!this->final_whole.empty() &&
+           commit.Entries() < this->options.entries_per_commit) {
+      const base::JobId id = this->final_whole.front();
+      this->final_whole.pop_front();
+      if (!this->jobs.contains(id)) continue;
+      // No revision is expected: a final job never changes again, and its
+      // removal is minutes away.
+      commit.writes.push_back({.key = JobKey(id), .value = kFinalJobRecord});
+      sent.cut_down.push_back(id);
+    }
+    if (commit.writes.empty()) return;
+    this->commits.emplace(commit.id, std::move(sent));
+    this->effects.push_back(std::move(commit));
+  }
+}
+
 void PoolPlanner::RemoveExpired(const PlannerTime& time) {
   if (time.now < this->next_removal) return;
   this->next_removal = time.now + kRemovalPeriod;
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -83,6 +83,12 @@
 void PoolPlanner::Load(std::span<const StoredJob> stored,
                        const WorkersNote& note, const PlannerTime& time) {
   for (const StoredJob& entry : stored) {
+    const bool whole = !entry.job.steps.empty();
+    if (!whole && !(entry.progress && IsFinal(entry.progress->phase))) {
+      this->log.Add(time.now, "stored job without a definition", "job={}",
+                    entry.job.id.value);
+      continue;
+    }
     JobState& job = this->AddJob(entry.job, time);
     job.stored = true;
     job.inherited = true;
@@ -119,6 +125,8 @@
     job.final_ms = entry.progress->final_ms;
     if (!job.IsOpen()) {
       job.final_at = time.now;
+      job.cut_down = true;
+      if (whole) this->final_whole.push_back(job.job.id);
       this->open.erase(job.job.id);
     }
   }
@@ -141,6 +149,7 @@
     }
     this->SendCommits(time);
     this->SendReviews(time);
+    this->CutDownFinal(time);
     this->RemoveExpired(time);
     this->AnswerUncertain(time);
   }
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -6,6 +6,7 @@
 #define AGATEPASS_POOL_POOL_PLANNER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -162,6 +163,7 @@
     /** Jobs whose progress was written, with the changes it covers. */
     std::vector<std::pair<base::JobId, uint64_t>> progressed;
     std::vector<base::JobId> removed;
+    std::vector<base::JobId> cut_down;
     /** Whether the note of the workers was written, with these among others. */
     bool has_note = false;
     std::vector<base::WorkerId> workers;
@@ -209,6 +211,7 @@
   void MarkChanged(JobState& job);
   JobProgress ProgressOf(const JobState& job) const;
   void ReleaseStoredEnds(WorkerState& worker, const PlannerTime& time);
+  void CutDownFinal(const PlannerTime& time);
   void RemoveExpired(const PlannerTime& time);
   void AnswerUncertain(const PlannerTime& time);
 
@@ -347,6 +350,9 @@
   base::Instant next_commit;
   StoreHealth store_health;
   base::Instant next_removal;
+  /** Final jobs whose whole definition is still in the store. */
+  std::deque<base::JobId> final_whole;
+  base::Instant next_cut_down;
   std::vector<GangHold> holds;
   std::vector<Effect> effects;
 };
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -146,6 +146,8 @@
   base::Instant accepted_at;
   base::Instant objective;
   base::Instant final_at;
+  /** Whether its definition in the store was cut down, or is about to be. */
+  bool cut_down = false;
   uint32_t priority = 0;
   uint32_t attempts = 1;
   base::ServiceId service;
--- a/src/agatepass/pool/record_codec.cpp
+++ b/src/agatepass/pool/record_codec.cpp
@@ -116,6 +116,12 @@
   }
 }
 
+absl::StatusOr<Job> DecodeJobRecord(const base::JobId& job,
+                                    std::string_view text) {
+  if (text == kFinalJobRecord) return Job{.id = job};
+  return DecodeJob(text);
+}
+
 std::string EncodeProgress(const JobProgress& progress) {
   Json out = {{"phase", JobPhaseName(progress.phase)}};
   if (progress.final_ms != 0) out["final"] = progress.final_ms;
--- a/src/agatepass/pool/record_codec.h
+++ b/src/agatepass/pool/record_codec.h
@@ -82,6 +82,15 @@
 /** Reads a definition. \return kInvalidRequest if it is malformed. */
 absl::StatusOr<Job> DecodeJob(std::string_view text);
 
+/** What takes the place of a final job's definition: it only keeps the id from
+ * being used again, and a planner that takes office need not read more. */
+inline constexpr char kFinalJobRecord[] = "final";
+
+/** Reads what stands at a job's key: the definition, or a job with no steps if
+ * kFinalJobRecord took its place. */
+absl::StatusOr<Job> DecodeJobRecord(const base::JobId& job,
+                                    std::string_view text);
+
 /** Renders the progress. */
 std::string EncodeProgress(const JobProgress& progress);
 
--- a/src/agatepass/pool/tests/submit_test.cpp
+++ b/src/agatepass/pool/tests/submit_test.cpp
@@ -105,6 +105,32 @@
   EXPECT_EQ(cell.violations(), std::vector<std::string>());
 }
 
+TEST(Submit, AFinalJobsDefinitionIsCutDownAndItsIdStaysKnown) {
+  PoolCell cell(1, 1);
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  cell.RunFor(seconds(4));
+  EXPECT_EQ(cell.StoredValue(JobKey(kJob)), kFinalJobRecord);
+  cell.KillPlanner(milliseconds(100));
+  cell.RunFor(seconds(1));
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  cell.RunFor(seconds(3));
+  EXPECT_EQ(cell.Answers(kJob),
+            (std::vector{ResultCode::kAccepted, ResultCode::kAccepted}));
+  EXPECT_EQ(cell.Starts({kJob, 0, 0, 0}), 1);
+  EXPECT_EQ(cell.StoredPhase(kJob), JobPhase::kSucceeded);
+}
+
+TEST(Submit, DefinitionsAreCutDownAfterAnOutageToo) {
+  PoolCell cell(1, 2);
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  cell.RunFor(milliseconds(1300));
+  cell.faults.store_down = true;
+  cell.RunFor(seconds(3));
+  cell.faults.store_down = false;
+  cell.RunFor(seconds(4));
+  EXPECT_EQ(cell.StoredValue(JobKey(kJob)), kFinalJobRecord);
+}
+
 TEST(Submit, StepsRunInTheirOrder) {
   PoolCell cell(1, 2);
   Job job = MakePoolJob("a", 3, 2000, seconds(1));
--- a/src/agatepass/pool/tests/write_backlog_test.cpp
+++ b/src/agatepass/pool/tests/write_backlog_test.cpp
@@ -48,6 +48,7 @@
   void SetUp() override {
     this->planner.SetQueues(this->queues, this->time);
     std::vector<StoredJob> jobs;
+    jobs.reserve(kJobs);
     for (int i = 0; i < kJobs; ++i) {
       // Their ids sort before those of the jobs that come later.
       jobs.push_back(
@@ -65,6 +66,7 @@
   /** One task of each job ends. */
   void EndATaskOfEachJob() {
     std::vector<EndedRow> ended;
+    ended.reserve(kJobs);
     for (int i = 0; i < kJobs; ++i) {
       ended.push_back({.number = ++this->ends,
                        .task = {base::JobId(fmt::format("a{:03}", i)), 0, 0,
