Admit what starts at once, and keep room for gangs without gaps

Cause: with gangs of twenty on a third of the workers, 55 to 80 % of the processors were in use while 50,000 core-seconds of gangs waited; bulk jobs were rejected behind them though their tasks fitted at once. Gangs asked for advice up to 48 times: their queries about a few more workers kept their tickets from being renewed, tickets were renewed for other workers than the plan took next, and the room reserved for a renewal was taken by others in the decision that followed the answer. Ruled out: the planner's processor (0.27 of 0.5 cores), the advice service's turn. Change: admission takes a job without gangs whose first tasks fit beside all that could start now; a step is placed when its advice comes; further queries only where they should find enough; gangs take valid tickets first; a hold is planned anew without a gap, on few workers, with ends foreseen by progress; small tasks avoid workers kept for gangs. One hold for each 12 workers, four at least.

--- a/src/agatepass/pool/admission.cpp
+++ b/src/agatepass/pool/admission.cpp
@@ -9,9 +9,27 @@
 /** Run times exceed their estimates by about this factor at the busy end. */
 constexpr double kChainMargin = 1.3;
 
+/** Part of the free processors that a step can use: only some workers are
+ * allowed, and room lies in pieces. */
+constexpr double kFreeShare = 0.4;
+
 /** Part of the slack that waiting may take. */
 constexpr double kWaitingShare = 0.8;
 
+/** Whether the job's first tasks find room beside all that could start now. A
+ * gang does not: free processors may lie in pieces. */
+bool StartsAtOnce(const PoolLoad& load, const Job& job) {
+  double own = 0;
+  for (const Step& step : job.steps) {
+    if (step.gang) return false;
+    if (step.after.empty()) {
+      own += static_cast<double>(step.count) *
+             static_cast<double>(step.need.millicores);
+    }
+  }
+  return load.waiting_millicores + own <= kFreeShare * load.free_millicores;
+}
+
 }  // namespace
 
 std::optional<base::Duration> RetryAfterOverload(const PoolLoad& load,
@@ -29,6 +47,7 @@
   if (wait <= kWaitingShare * slack) return std::nullopt;
   // A job that would not fit even into an idle pool is taken when it is idle.
   if (load.work_before + load.work_beside <= 0) return std::nullopt;
+  if (StartsAtOnce(load, job)) return std::nullopt;
   const double late = wait - kWaitingShare * slack;
   return std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(std::max(1.0, late)));
--- a/src/agatepass/pool/admission.h
+++ b/src/agatepass/pool/admission.h
@@ -23,6 +23,11 @@
   double work_before = 0;
   /** Waiting work of queues of the same priority, in millicore-seconds. */
   double work_beside = 0;
+  /** Processors that are free now where no gang waits for them. */
+  double free_millicores = 0;
+  /** Processors asked for by tasks that could start now, of queues of the same
+   * priority or before, without those of gangs: these wait for room at once. */
+  double waiting_millicores = 0;
 };
 
 /** Returns nothing if the job can meet its objective, otherwise the time after
--- a/src/agatepass/pool/advice_choice.cpp
+++ b/src/agatepass/pool/advice_choice.cpp
@@ -13,6 +13,9 @@
 /** Part of the room in use that counts as a place: it may become free. */
 constexpr double kBusyPlaceShare = 0.2;
 
+/** Part of the missing places that a further query should find at least. */
+constexpr double kWorthAskingShare = 0.4;
+
 /** Expected before the first answer. */
 constexpr double kFirstShare = 0.4;
 
@@ -44,6 +47,10 @@
   return named;
 }
 
+bool IsWorthAsking(double expected, uint32_t missing) {
+  return missing > 0 && expected >= kWorthAskingShare * missing;
+}
+
 void GoodShares::OnAnswer(const std::string& queue, size_t asked, size_t good) {
   if (asked == 0) return;
   const double seen = static_cast<double>(good) / static_cast<double>(asked);
--- a/src/agatepass/pool/advice_choice.h
+++ b/src/agatepass/pool/advice_choice.h
@@ -48,6 +48,12 @@
 std::vector<base::WorkerId> ChooseWorkersToAsk(
     std::vector<WorkerToAsk> candidates, const AdviceDemand& demand);
 
+/** Whether one more query about a step that is known pays: it keeps the step
+ * from renewing its tickets meanwhile.
+ * \param expected places that the query should find.
+ * \param missing places that the step lacks. */
+bool IsWorthAsking(double expected, uint32_t missing);
+
 /** Part of the workers named that the advice service allows, for each queue. */
 class GoodShares {
  public:
--- a/src/agatepass/pool/pace.cpp
+++ b/src/agatepass/pool/pace.cpp
@@ -15,8 +15,17 @@
 
 constexpr int kWhole = 100;
 
+/** Progress from which a run's pace is known better than by its estimate. */
+constexpr int kLeastTellingPercent = 15;
+
 }  // namespace
 
+base::Instant PredictEnd(base::Instant began, base::Instant seen, int percent,
+                         base::Instant estimated) {
+  if (percent < kLeastTellingPercent) return estimated;
+  return began + (seen - began) * kWhole / percent;
+}
+
 PaceVerdict JudgePace(const RunPace& pace) {
   // A gang's member whose work is done waits for the others.
   if (pace.percent >= kWhole || pace.percent > pace.percent_before) {
--- a/src/agatepass/pool/pace.h
+++ b/src/agatepass/pool/pace.h
@@ -29,6 +29,14 @@
   kStandsStill,
 };
 
+/** Returns when a run should end, from how far it has come.
+ * \param began when it was ordered.
+ * \param seen when it had come to `percent`.
+ * \param estimated the end by the caller's estimate, which stands while the
+ *     run has shown too little. */
+base::Instant PredictEnd(base::Instant began, base::Instant seen, int percent,
+                         base::Instant estimated);
+
 /** Judges one look at a run. */
 PaceVerdict JudgePace(const RunPace& pace);
 
--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -32,6 +32,7 @@
   // A step whose good workers are known waits for them rather than for more
   // advice about workers that are as busy.
   const bool only_with_room = advice.known;
+  uint32_t places = 0;
   std::vector<WorkerToAsk> candidates;
   for (const auto& [id, worker] : this->workers) {
     if (advice.asked.contains(id)) continue;
@@ -41,22 +42,36 @@
                           .fits_empty = this->FitsOnEmpty(*worker, step)};
     if (time.now < worker->shunned_until) candidate.fits_now = 0;
     if (only_with_room && candidate.fits_now == 0) continue;
+    places += candidate.fits_now;
     candidates.push_back(std::move(candidate));
   }
   if (candidates.empty()) return;
+  const double good_share = this->good_shares.Expect(step.job->job.queue);
+  if (!advice.good.empty() &&
+      !IsWorthAsking(places * good_share, this->MissingPlaces(step, time))) {
+    return;
+  }
   // Steps that ask at the same time begin with different workers.
   const auto turn = static_cast<std::ptrdiff_t>(this->totals.advice_queries *
                                                 kTurnStep % candidates.size());
   std::rotate(candidates.begin(), candidates.begin() + turn, candidates.end());
   const AdviceDemand demand{
       .tasks = step.waiting,
-      .good_share = this->good_shares.Expect(step.job->job.queue),
+      .good_share = good_share,
       .least_workers = advice.known ? 1 : this->options.least_workers_per_query,
       .most_workers = this->options.workers_per_query};
   this->AskAdvice(step, ChooseWorkersToAsk(std::move(candidates), demand),
                   time);
 }
 
+uint32_t PoolPlanner::MissingPlaces(StepState& step, const PlannerTime& time) {
+  uint32_t found = 0;
+  for (const Candidate& candidate : this->FindCandidates(step, time)) {
+    found += candidate.fits;
+  }
+  return step.waiting - std::min(step.waiting, found);
+}
+
 void PoolPlanner::AskAdvice(StepState& step, std::vector<base::WorkerId> named,
                             const PlannerTime& time) {
   const Queue* queue = this->queues.Find(step.job->job.queue);
@@ -115,6 +130,10 @@
                 "job={} step={} asked={} good={} after_ms={}", job.value,
                 number, advice.in_query.size(), reply.good.size(),
                 base::ToMilliseconds(time.now - advice.asked_at));
+  // At once, before others take the room that was reserved.
+  if (!this->retiring && !this->deposed && this->IsReady(*step, time)) {
+    this->PlaceStep(*step, time);
+  }
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -100,6 +100,9 @@
     load.usable_millicores +=
         static_cast<double>(worker->record.total.millicores) *
         this->options.usable_share;
+    if (!this->IsHeld(*worker)) {
+      load.free_millicores += static_cast<double>(worker->Room().millicores);
+    }
   }
   for (const auto& [id, other] : this->open) {
     if (other->service != queue.service) continue;
@@ -108,6 +111,9 @@
     if (now > other->objective + 2 * (other->objective - other->accepted_at)) {
       continue;
     }
+    if (other->priority <= queue.priority) {
+      load.waiting_millicores += this->StartableMillicores(*other, now);
+    }
     if (other->priority < queue.priority) {
       load.work_before += work;
     } else if (other->priority == queue.priority) {
@@ -120,15 +126,28 @@
     this->log.Add(now, "pool overloaded",
                   "job={} priority={} usable_millicores={:.0f} "
                   "in_use_millicores={} of={} before_core_s={:.0f} "
-                  "beside_core_s={:.0f} own_core_s={:.0f}",
+                  "beside_core_s={:.0f} own_core_s={:.0f} "
+                  "free_millicores={:.0f} waiting_millicores={:.0f}",
                   job.id.value, queue.priority, load.usable_millicores, used,
                   total, load.work_before / kMillicoresInCore,
                   load.work_beside / kMillicoresInCore,
-                  EstimatedWork(job) / kMillicoresInCore);
+                  EstimatedWork(job) / kMillicoresInCore, load.free_millicores,
+                  load.waiting_millicores);
   }
   return wait;
 }
 
+double PoolPlanner::StartableMillicores(const JobState& job,
+                                        base::Instant now) const {
+  double millicores = 0;
+  for (const auto& step : job.steps) {
+    if (step->definition->gang || !this->IsReady(*step, {now, 0})) continue;
+    millicores += static_cast<double>(step->waiting) *
+                  static_cast<double>(step->definition->need.millicores);
+  }
+  return millicores;
+}
+
 bool PoolPlanner::FitsAnyWorker(const Job& job,
                                 const base::ServiceId& service) const {
   bool any = false;
--- a/src/agatepass/pool/planner_decide.cpp
+++ b/src/agatepass/pool/planner_decide.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** Time after its end for which a hold may be planned anew. */
+constexpr base::Duration kHoldGrace = std::chrono::milliseconds(300);
+
 /** Returns the estimated time from the beginning of a step to the job's end. */
 base::Duration RemainingChain(const StepState& step) {
   base::Duration remaining{0};
@@ -43,7 +46,7 @@
 
 void PoolPlanner::Decide(const PlannerTime& time) {
   std::erase_if(this->holds, [&time](const GangHold& hold) {
-    return time.now >= hold.until;
+    return time.now >= hold.until + kHoldGrace;
   });
   for (StepState* step : this->ReadySteps(time)) {
     if (!step->reserved.empty() && time.now >= step->reserved_until) {
@@ -91,6 +94,7 @@
 }
 
 void PoolPlanner::PlaceStep(StepState& step, const PlannerTime& time) {
+  if (!step.job->IsOpen()) return;
   if (this->NeedsAdvice(step) && !step.advice.known) {
     this->AskAboutMore(step, time);
     return;
@@ -178,13 +182,15 @@
 void PoolPlanner::PlaceTasks(StepState& step, std::vector<Candidate> candidates,
                              const PlannerTime& time) {
   const int64_t need = step.definition->need.millicores;
-  // Tight fits first keep whole workers free for large shapes; data decides
-  // before that, as reading it from afar costs more than room.
+  // Tight fits first keep whole workers free for large shapes, and what becomes
+  // free for a gang is left to it; data decides before that, as reading it from
+  // afar costs more than room.
   const auto rank = [&](const Candidate& candidate) {
     const bool far = !step.definition->data_rack.empty() &&
                      candidate.worker->rack != step.definition->data_rack;
     const int64_t left = candidate.worker->Room().millicores - need;
-    return std::make_tuple(far, !candidate.ticket_valid, left);
+    const bool held = this->IsHeld(*candidate.worker);
+    return std::make_tuple(far, !candidate.ticket_valid, held, left);
   };
   std::vector<std::pair<WorkerState*, uint32_t>> expired;
   uint32_t planned = 0;
--- a/src/agatepass/pool/planner_gangs.cpp
+++ b/src/agatepass/pool/planner_gangs.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "agatepass/pool/pace.h"
 #include "agatepass/pool/pool_planner.h"
 #include "agatepass/pool/urgency.h"
 
@@ -12,12 +13,21 @@
 /** Room is kept for one gang at most this long. */
 constexpr base::Duration kLongestHold = std::chrono::seconds(4);
 
+/** Places kept for each member of a gang: some tasks end late. */
+constexpr double kHeldPlaces = 1.3;
+
 /** Room kept beyond the time at which it should be free: estimates are rough.
  */
 constexpr base::Duration kHoldMargin = std::chrono::milliseconds(300);
 
-/** Gangs for which room is kept at the same time: each one idles some. */
-constexpr size_t kMostHolds = 4;
+/** Gangs for which room is kept at the same time, at least, and for how many
+ * workers there may be one more: each one idles some room. */
+constexpr size_t kLeastHolds = 4;
+constexpr size_t kWorkersForOneHold = 12;
+
+/** Time between two attempts to find room for the same gang: each one looks at
+ * all runs of its workers. */
+constexpr base::Duration kHoldRetry = std::chrono::milliseconds(150);
 
 /** Time that a stopped task may take to save its progress and free its room.
  */
@@ -36,6 +46,42 @@
   platform::Resources need;
 };
 
+/** Where the members of a gang would start. */
+struct GangPlan {
+  std::vector<std::pair<WorkerState*, uint32_t>> members;
+  /** Members without a place. */
+  uint32_t left = 0;
+  /** Whether all tickets are valid. */
+  bool valid = true;
+};
+
+uint32_t FitsOfGang(const StepState& step, const platform::Resources& room);
+
+/** Returns the workers on which room is kept: few with much room, and some to
+ * spare. */
+std::set<const WorkerState*> ChooseHeld(
+    const StepState& step,
+    const std::map<WorkerState*, platform::Resources>& room) {
+  std::vector<std::pair<uint32_t, WorkerState*>> ranked;
+  for (const auto& [worker, free] : room) {
+    const uint32_t fits = FitsOfGang(step, free);
+    if (fits > 0) ranked.emplace_back(fits, worker);
+  }
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const auto& left, const auto& right) {
+                     return left.first > right.first;
+                   });
+  const double wanted = kHeldPlaces * static_cast<double>(step.tasks.size());
+  std::set<const WorkerState*> held;
+  double places = 0;
+  for (const auto& [fits, worker] : ranked) {
+    if (places >= wanted) break;
+    places += fits;
+    held.insert(worker);
+  }
+  return held;
+}
+
 uint32_t FitsOfGang(const StepState& step, const platform::Resources& room) {
   return CountFits(*step.definition, room,
                    static_cast<uint32_t>(step.tasks.size()));
@@ -68,16 +114,23 @@
       break;
     }
   }
-  std::vector<std::pair<WorkerState*, uint32_t>> plan;
-  uint32_t left = static_cast<uint32_t>(step.tasks.size());
-  bool valid = true;
-  for (const Candidate& candidate : candidates) {
-    if (left == 0) break;
-    const uint32_t taken = std::min(left, candidate.fits);
-    plan.emplace_back(candidate.worker, taken);
-    valid = valid && candidate.ticket_valid;
-    left -= taken;
-  }
+  // Workers with a valid ticket first, or room would be kept for renewals again
+  // and again.
+  const auto plan_for = [&](bool expired_too) {
+    GangPlan planned{.left = static_cast<uint32_t>(step.tasks.size())};
+    for (const Candidate& candidate : candidates) {
+      if (planned.left == 0) break;
+      if (!candidate.ticket_valid && !expired_too) continue;
+      const uint32_t taken = std::min(planned.left, candidate.fits);
+      planned.members.emplace_back(candidate.worker, taken);
+      planned.valid = planned.valid && candidate.ticket_valid;
+      planned.left -= taken;
+    }
+    return planned;
+  };
+  GangPlan planned = plan_for(false);
+  if (planned.left > 0) planned = plan_for(true);
+  const auto& [plan, left, valid] = planned;
   if (left > 0) {
     this->MakeRoomForGang(step, time);
     return;
@@ -109,6 +162,13 @@
   });
 }
 
+bool PoolPlanner::IsHeld(const WorkerState& worker) const {
+  return std::any_of(this->holds.begin(), this->holds.end(),
+                     [&worker](const GangHold& hold) {
+                       return hold.workers.contains(&worker);
+                     });
+}
+
 std::vector<WorkerState*> PoolPlanner::GangWorkers(const StepState& step,
                                                    const PlannerTime& time) {
   std::vector<WorkerState*> suitable;
@@ -122,10 +182,16 @@
 
 void PoolPlanner::MakeRoomForGang(StepState& step, const PlannerTime& time) {
   if (UrgencyOf(step, time.now) > Urgency::kInTime) return;
-  if (this->holds.size() >= kMostHolds) return;
-  for (const GangHold& hold : this->holds) {
-    if (hold.step == &step) return;
-  }
+  const size_t most =
+      std::max(kLeastHolds, this->workers.size() / kWorkersForOneHold);
+  if (time.now < step.next_hold) return;
+  const auto present = std::find_if(
+      this->holds.begin(), this->holds.end(),
+      [&step](const GangHold& hold) { return hold.step == &step; });
+  if (present == this->holds.end() && this->holds.size() >= most) return;
+  // Past its time the room is planned anew, without a gap for others.
+  if (present != this->holds.end() && time.now < present->until) return;
+  step.next_hold = time.now + kHoldRetry;
   const std::vector<WorkerState*> workers = this->GangWorkers(step, time);
   std::optional<GangHold> held = this->FindHold(step, workers, time);
   const bool soon = held && held->until <= time.now + kStopTime + kHoldMargin;
@@ -135,6 +201,7 @@
     }
   }
   if (!held) return;
+  this->DropHold(step);
   this->log.Add(time.now, "room kept for a gang",
                 "job={} step={} workers={} until_ms={}", step.job->job.id.value,
                 step.number, held->workers.size(),
@@ -152,7 +219,9 @@
     room[worker] = worker->Room();
     fits += FitsOfGang(step, worker->Room());
     for (const RunState* run : worker->runs) {
-      releases.push_back({run->expected_end, worker, run->need});
+      const base::Instant end = PredictEnd(
+          run->ordered_at, run->mark.at, run->mark.percent, run->expected_end);
+      releases.push_back({end, worker, run->need});
     }
   }
   std::sort(releases.begin(), releases.end(),
@@ -168,9 +237,7 @@
     if (fits < step.tasks.size()) continue;
     GangHold held{.step = &step,
                   .until = std::max(release.at, time.now) + kHoldMargin};
-    for (const auto& [worker, free] : room) {
-      if (FitsOfGang(step, free) > 0) held.workers.insert(worker);
-    }
+    held.workers = ChooseHeld(step, room);
     return held;
   }
   return std::nullopt;
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -352,10 +352,7 @@
       continue;
     }
     if (!worker.runs.empty()) this->LoseRuns(worker, "its lease lapsed", time);
-    const bool kept_for = std::any_of(this->holds.begin(), this->holds.end(),
-                                      [&worker](const GangHold& hold) {
-                                        return hold.workers.contains(&worker);
-                                      });
+    const bool kept_for = this->IsHeld(worker);
     const bool forget = !worker.listed && !worker.review_in_flight &&
                         !kept_for && worker.reserved == platform::Resources{};
     if (forget) {
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -190,6 +190,9 @@
               const PlannerTime& time);
   std::optional<base::Duration> Overload(const Job& job, const Queue& queue,
                                          base::Instant now);
+  /** Processors asked for by a job's tasks that could start now, without those
+   * of gangs. Timed steps count once they are due. */
+  double StartableMillicores(const JobState& job, base::Instant now) const;
   bool FitsAnyWorker(const Job& job, const base::ServiceId& service) const;
   void ApplyQueue(JobState& job);
   JobState& AddJob(Job job, const PlannerTime& time);
@@ -288,6 +291,8 @@
   // planner_gangs.cpp
   void PlaceGang(StepState& step, std::vector<Candidate> candidates,
                  const PlannerTime& time);
+  /** Whether room is kept there for a gang. */
+  bool IsHeld(const WorkerState& worker) const;
   void DropHold(const StepState& step);
   void DropHolds(const JobState& job);
   /** Workers on which the gang's members may start now or later. */
@@ -310,6 +315,8 @@
                  const PlannerTime& time);
   /** Asks about workers that no answer about this step covers yet. */
   void AskAboutMore(StepState& step, const PlannerTime& time);
+  /** Waiting tasks that find no room on workers known to be good. */
+  uint32_t MissingPlaces(StepState& step, const PlannerTime& time);
   const std::string& TicketFor(const StepState& step,
                                const WorkerState& worker) const;
 
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -119,6 +119,8 @@
   AdviceState advice;
   std::vector<Reservation> reserved;
   base::Instant reserved_until;
+  /** Of a gang: when room may be looked for again. */
+  base::Instant next_hold;
   /** Of a gang: whether the members of the present run are told to stop. */
   bool breaking = false;
   /** Of a gang: runs of the whole that have failed. */
--- a/src/agatepass/pool/tests/admission_test.cpp
+++ b/src/agatepass/pool/tests/admission_test.cpp
@@ -40,5 +40,24 @@
   EXPECT_EQ(RetryAfterOverload({}, Letter(), kQueue), std::nullopt);
 }
 
+TEST(Admission, TakesWhatStartsAtOnceWhileGangsWaitForRoomInOnePiece) {
+  PoolLoad load{.usable_millicores = 10'000,
+                .work_before = 200'000,
+                .free_millicores = 12'000};
+  EXPECT_EQ(RetryAfterOverload(load, Letter(), kQueue), std::nullopt);
+  // Other tasks take the free room first.
+  load.waiting_millicores = 4'000;
+  EXPECT_TRUE(RetryAfterOverload(load, Letter(), kQueue));
+}
+
+TEST(Admission, FreeRoomInPiecesIsNoneForAGang) {
+  const PoolLoad load{.usable_millicores = 10'000,
+                      .work_before = 200'000,
+                      .free_millicores = 100'000};
+  Job gang = Letter();
+  gang.steps[0].gang = true;
+  EXPECT_TRUE(RetryAfterOverload(load, gang, kQueue));
+}
+
 }  // namespace
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/tests/advice_choice_test.cpp
+++ b/src/agatepass/pool/tests/advice_choice_test.cpp
@@ -54,6 +54,12 @@
   EXPECT_EQ(full, 15U);
 }
 
+TEST(AdviceChoice, AFewPlacesMoreAreNotWorthAsking) {
+  EXPECT_FALSE(IsWorthAsking(5, 20));
+  EXPECT_TRUE(IsWorthAsking(10, 20));
+  EXPECT_FALSE(IsWorthAsking(10, 0));
+}
+
 TEST(GoodShares, FollowsTheAnswersOfEachQueue) {
   GoodShares shares;
   const double unknown = shares.Expect("letters");
--- a/src/agatepass/pool/tests/pace_test.cpp
+++ b/src/agatepass/pool/tests/pace_test.cpp
@@ -41,5 +41,15 @@
             PaceVerdict::kTooEarly);
 }
 
+TEST(Pace, ARunsProgressTellsItsEndBetterThanItsEstimate) {
+  const base::Instant began{std::chrono::seconds(100)};
+  const base::Instant seen = began + std::chrono::seconds(3);
+  const base::Instant estimated = began + std::chrono::seconds(4);
+  EXPECT_EQ(PredictEnd(began, seen, 0, estimated), estimated);
+  EXPECT_EQ(PredictEnd(began, seen, 30, estimated),
+            began + std::chrono::seconds(10));
+  EXPECT_EQ(PredictEnd(began, seen, 100, estimated), seen);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/tests/wide_pool_test.cpp
+++ b/src/agatepass/pool/tests/wide_pool_test.cpp
@@ -58,6 +58,13 @@
                            this->time);
   }
   void Answer(const AdviceQuery& query) {
+    if (this->advice_is_slow) {
+      this->waiting.push_back(query);
+      return;
+    }
+    this->GiveAdvice(query);
+  }
+  void GiveAdvice(const AdviceQuery& query) {
     ++this->queries;
     AdviceReply reply{.answered = true, .valid = seconds(60)};
     for (const base::WorkerId& worker : query.workers) {
@@ -97,6 +104,8 @@
   std::set<base::WorkerId> started;
   std::map<base::WorkerId, std::vector<RunningRow>> running;
   int queries = 0;
+  bool advice_is_slow = false;
+  std::vector<AdviceQuery> waiting;
 };
 
 TEST_F(WidePool, WorkIsSpreadOverAllWorkers) {
@@ -122,6 +131,18 @@
   EXPECT_EQ(this->queries, queries_until_started);
 }
 
+TEST_F(WidePool, AJobCancelledWhileAdviceIsAwaitedStartsNothing) {
+  this->good.insert(base::WorkerId("w000"));
+  this->advice_is_slow = true;
+  this->planner.Submit(1, MakePoolJob("a", 1, 8000, seconds(60)), this->time);
+  this->Step(5);
+  this->planner.Cancel(2, base::JobId("a"), this->time);
+  this->Step(5);
+  for (const AdviceQuery& query : this->waiting) this->GiveAdvice(query);
+  this->Step(5);
+  EXPECT_TRUE(this->started.empty());
+}
+
 TEST_F(WidePool, NoWorkerIsAskedAboutTwiceForAStep) {
   this->planner.Submit(1, MakePoolJob("a", 1, 8000, seconds(60)), this->time);
   this->Step(60);
