--- a/src/agatepass/pool/election.cpp
+++ b/src/agatepass/pool/election.cpp
@@ -36,9 +36,11 @@
   if (this->in_office() && !mine && revision != this->fence) this->Resign();
 }
 
-void Election::OnPlannerLost(platform::Revision revision, base::Instant now) {
-  if (this->in_office() || !this->seen || this->lost_since) return;
-  if (revision == this->seen_revision) this->lost_since = now;
+bool Election::OnPlannerLost(platform::Revision revision, base::Instant now) {
+  if (this->in_office() || !this->seen || this->lost_since) return false;
+  if (revision != this->seen_revision) return false;
+  this->lost_since = now;
+  return true;
 }
 
 ElectionStep Election::Next(base::Instant now) {
--- a/src/agatepass/pool/election.h
+++ b/src/agatepass/pool/election.h
@@ -85,7 +85,8 @@
 
   /** The planner whose key has this revision is gone, or does not reach the
    * store: its office may be taken before its lease lapses. */
-  void OnPlannerLost(platform::Revision revision, base::Instant now);
+  /** \return whether this is news. */
+  bool OnPlannerLost(platform::Revision revision, base::Instant now);
 
   /** The planner works after all. */
   void OnPlannerWorks() { this->lost_since.reset(); }
