--- a/src/agatepass/pool/job.h
+++ b/src/agatepass/pool/job.h
@@ -6,12 +6,14 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/platform/resources.h"
+#include "agatepass/pool/queue_table.h"
 
 namespace agatepass::pool {
 
@@ -71,6 +73,9 @@
   int64_t interval_ms = 0;
   /** When it was accepted, Unix milliseconds. */
   int64_t accepted_ms = 0;
+  /** Policy of its queue when it was accepted, for a planner whose
+   * configuration does not have the queue. */
+  std::optional<QueuePolicy> policy;
 
   bool operator==(const Job&) const = default;
 };
--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -17,7 +17,7 @@
 }  // namespace
 
 bool PoolPlanner::NeedsAdvice(const StepState& step) const {
-  return step.job->advice_valid.has_value();
+  return step.job->policy.advice.has_value();
 }
 
 const std::string& PoolPlanner::TicketFor(const StepState& step,
@@ -74,16 +74,15 @@
 
 void PoolPlanner::AskAdvice(StepState& step, std::vector<base::WorkerId> named,
                             const PlannerTime& time) {
-  const Queue* queue = this->queues.Find(step.job->job.queue);
   AdviceQuery query{.job = step.job->job.id,
                     .occurrence = step.occurrence,
                     .step = step.number,
                     .workers = std::move(named),
-                    .priority = step.job->priority};
-  if (queue != nullptr && queue->advice) {
+                    .priority = step.job->policy.priority};
+  if (const auto& advice = step.job->policy.advice) {
     query.cost =
-        queue->advice->decide +
-        queue->advice->per_worker * static_cast<int64_t>(query.workers.size());
+        advice->decide +
+        advice->per_worker * static_cast<int64_t>(query.workers.size());
   }
   step.advice.in_flight = true;
   step.advice.asked_at = time.now;
@@ -110,8 +109,9 @@
   }
   advice.known = true;
   base::Duration valid = reply.valid;
-  if (valid.count() == 0) {
-    valid = step->job->advice_valid.value_or(base::Duration(0));
+  if (const auto& policy = step->job->policy.advice;
+      valid.count() == 0 && policy) {
+    valid = policy->valid;
   }
   const base::Instant valid_until =
       time.now + valid - this->options.ticket_margin;
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -83,6 +83,7 @@
     return;
   }
   job.accepted_ms = time.wall_ms;
+  job.policy = PolicyOf(*queue);
   JobState& state = this->AddJob(std::move(job), time);
   state.waiting_submits.push_back(call);
   this->QueueWrite(state);
@@ -105,18 +106,18 @@
     }
   }
   for (const auto& [id, other] : this->open) {
-    if (other->service != queue.service) continue;
+    if (other->policy.service != queue.service) continue;
     const double work = WaitingWork(*other);
     // Work past three times its objective only fills gaps.
     if (now > other->objective + 2 * (other->objective - other->accepted_at)) {
       continue;
     }
-    if (other->priority <= queue.priority) {
+    if (other->policy.priority <= queue.priority) {
       load.waiting_millicores += this->StartableMillicores(*other, now);
     }
-    if (other->priority < queue.priority) {
+    if (other->policy.priority < queue.priority) {
       load.work_before += work;
-    } else if (other->priority == queue.priority) {
+    } else if (other->policy.priority == queue.priority) {
       load.work_beside += work;
     }
   }
@@ -164,16 +165,14 @@
 }
 
 void PoolPlanner::ApplyQueue(JobState& job) {
-  const Queue* queue = this->queues.Find(job.job.queue);
-  if (queue == nullptr) return;
-  job.priority = queue->priority;
-  job.attempts = queue->attempts;
-  job.service = queue->service;
-  job.advice_valid.reset();
-  if (queue->advice) job.advice_valid = queue->advice->valid;
-  job.objective = job.accepted_at + queue->slack +
+  if (const Queue* queue = this->queues.Find(job.job.queue)) {
+    job.policy = PolicyOf(*queue);
+  } else if (job.job.policy) {
+    job.policy = *job.job.policy;
+  }
+  job.objective = job.accepted_at + job.policy.slack +
                   std::chrono::duration_cast<base::Duration>(
-                      LongestChain(job.job) * queue->stretch);
+                      LongestChain(job.job) * job.policy.stretch);
 }
 
 JobState& PoolPlanner::AddJob(Job job, const PlannerTime& time) {
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -44,8 +44,8 @@
 
 void PoolPlanner::QueueWrite(const JobState& job) {
   const bool is_awaited = !job.stored || !job.IsOpen();
-  this->unwritten.Add(job.job.id,
-                      {.is_progress = !is_awaited, .priority = job.priority});
+  this->unwritten.Add(job.job.id, {.is_progress = !is_awaited,
+                                   .priority = job.policy.priority});
 }
 
 void PoolPlanner::MarkChanged(JobState& job) {
@@ -202,7 +202,7 @@
   this->decide = true;
   this->log.Add(time.now, "job accepted",
                 "job={} queue={} priority={} steps={} objective_ms={}",
-                job.job.id.value, job.job.queue, job.priority,
+                job.job.id.value, job.job.queue, job.policy.priority,
                 job.job.steps.size(),
                 base::ToMilliseconds(job.objective - job.accepted_at));
   for (const CallId call : std::exchange(job.waiting_submits, {})) {
--- a/src/agatepass/pool/planner_decide.cpp
+++ b/src/agatepass/pool/planner_decide.cpp
@@ -118,7 +118,7 @@
 bool PoolPlanner::IsSuitable(const WorkerState& worker,
                              const StepState& step) const {
   if (!worker.listed || worker.record.draining) return false;
-  if (worker.record.service != step.job->service) return false;
+  if (worker.record.service != step.job->policy.service) return false;
   const std::string& label = step.definition->required_label;
   return label.empty() ||
          std::find(worker.record.labels.begin(), worker.record.labels.end(),
@@ -130,7 +130,7 @@
   if (!this->IsSuitable(worker, step)) return false;
   if (!worker.reviewed || !worker.noted || !worker.clock_ms) return false;
   if (time.now < worker.shunned_until) return false;
-  if (step.job->priority == 0) return true;
+  if (step.job->policy.priority == 0) return true;
   const base::Instant end = time.now + step.definition->estimate;
   return std::none_of(this->holds.begin(), this->holds.end(),
                       [&](const GangHold& hold) {
--- a/src/agatepass/pool/planner_gangs.cpp
+++ b/src/agatepass/pool/planner_gangs.cpp
@@ -251,7 +251,7 @@
     return false;
   }
   const JobState& job = *run.step->job;
-  if (job.priority <= gang.job->priority) return false;
+  if (job.policy.priority <= gang.job->policy.priority) return false;
   if (run.mark.percent >= kNearlyDonePercent) return false;
   // Its own objective must bear the wait and the work done again.
   if (job.objective < time.now + 2 * definition.estimate + kStopTime) {
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -166,7 +166,7 @@
                   worker.record.worker.value);
   }
   if (step.definition->long_running) return;
-  if (failed_runs.size() >= step.job->attempts) {
+  if (failed_runs.size() >= step.job->policy.attempts) {
     this->FinishJob(*step.job, JobPhase::kFailed, time);
   }
 }
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -150,10 +150,8 @@
   base::Instant final_at;
   /** Whether its definition in the store was cut down, or is about to be. */
   bool cut_down = false;
-  uint32_t priority = 0;
-  uint32_t attempts = 1;
-  base::ServiceId service;
-  std::optional<base::Duration> advice_valid;
+  /** By the newest configuration that has its queue. */
+  QueuePolicy policy;
   /** Accepted under an earlier planner: its tasks may run anywhere. */
   bool inherited = false;
   std::vector<std::unique_ptr<StepState>> steps;
--- a/src/agatepass/pool/record_codec.cpp
+++ b/src/agatepass/pool/record_codec.cpp
@@ -64,6 +64,36 @@
   return step;
 }
 
+Json EncodePolicy(const QueuePolicy& policy) {
+  Json out = {{"service", policy.service.value},
+              {"priority", policy.priority},
+              {"attempts", policy.attempts},
+              {"stretch", policy.stretch},
+              {"slack", policy.slack.count()}};
+  if (policy.advice) {
+    out["advice"] = {policy.advice->decide.count(),
+                     policy.advice->per_worker.count(),
+                     policy.advice->valid.count()};
+  }
+  return out;
+}
+
+QueuePolicy DecodePolicy(const Json& in) {
+  QueuePolicy policy;
+  policy.service = base::ServiceId(in.at("service").get<std::string>());
+  policy.priority = in.at("priority").get<uint32_t>();
+  policy.attempts = in.at("attempts").get<uint32_t>();
+  policy.stretch = in.at("stretch").get<double>();
+  policy.slack = base::Duration(in.at("slack").get<int64_t>());
+  if (const auto advice = in.find("advice"); advice != in.end()) {
+    policy.advice =
+        AdvicePolicy{.decide = base::Duration(advice->at(0).get<int64_t>()),
+                     .per_worker = base::Duration(advice->at(1).get<int64_t>()),
+                     .valid = base::Duration(advice->at(2).get<int64_t>())};
+  }
+  return policy;
+}
+
 absl::Status Malformed(std::string_view what, std::string_view reason) {
   return base::ErrorStatus(
       base::ResultCode::kInvalidRequest,
@@ -91,6 +121,7 @@
   if (job.occurrences != 0) {
     out["times"] = {job.occurrences, job.first_due_ms, job.interval_ms};
   }
+  if (job.policy) out["policy"] = EncodePolicy(*job.policy);
   return out.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -110,6 +141,9 @@
       job.first_due_ms = times->at(1).get<int64_t>();
       job.interval_ms = times->at(2).get<int64_t>();
     }
+    if (const auto policy = in.find("policy"); policy != in.end()) {
+      job.policy = DecodePolicy(*policy);
+    }
     return job;
   } catch (const Json::exception& error) {
     return Malformed("a job", error.what());
--- a/src/agatepass/pool/tests/record_codec_test.cpp
+++ b/src/agatepass/pool/tests/record_codec_test.cpp
@@ -14,7 +14,16 @@
           .occurrences = 3,
           .first_due_ms = 17,
           .interval_ms = 19,
-          .accepted_ms = 23};
+          .accepted_ms = 23,
+          .policy =
+              QueuePolicy{.service = base::ServiceId("desk"),
+                          .priority = 2,
+                          .attempts = 3,
+                          .stretch = 1.5,
+                          .slack = std::chrono::milliseconds(400),
+                          .advice = AdvicePolicy{std::chrono::milliseconds(12),
+                                                 std::chrono::microseconds(170),
+                                                 std::chrono::seconds(2)}}};
   job.steps.push_back({.count = 4,
                        .need = {1000, 2000, 3},
                        .estimate = std::chrono::milliseconds(900),
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -123,6 +123,18 @@
   EXPECT_EQ(CountStarts(this->Settle()), 2U);
 }
 
+TEST_F(Takeover, AJobWhoseQueueIsNotConfiguredKeepsItsPolicy) {
+  // Also before the first configuration is read: one failed run of four.
+  Job job = MakePoolJob("a", 1, 1000, seconds(1));
+  job.policy = PolicyOf(this->queues.queues[0]);
+  this->queues.queues.clear();
+  this->Load(job, {.phase = JobPhase::kRunning});
+  this->Review("w0", {{1, this->task, 1, RunEnd::kFailed, ""}});
+  this->Review("w1", {});
+  EXPECT_EQ(this->planner.open_jobs(), 1U);
+  EXPECT_EQ(CountStarts(this->Settle()), 1U);
+}
+
 TEST(TakeoverInTheCell, AStopWaitsOnlyForCallers) {
   PoolCell cell(1, 2);
   cell.Submit(MakePoolJob("a", 2, 1000, seconds(1)));
--- a/src/agatepass/pool/urgency.h
+++ b/src/agatepass/pool/urgency.h
@@ -34,7 +34,7 @@
     return Urgency::kWorthless;
   }
   if (now > job.objective) return Urgency::kLate;
-  return job.priority == 0 ? Urgency::kUrgent : Urgency::kInTime;
+  return job.policy.priority == 0 ? Urgency::kUrgent : Urgency::kInTime;
 }
 
 /** Returns how many tasks of a step fit into a room, at most `most`. */
