Let a queue hold its policy, and give tests one configuration

Cause: QueuePolicy stood beside the same fields in Queue, and three tests wrote the same queue table (found by a look for doubled code). Change: Queue contains QueuePolicy; MakePoolQueues serves the tests.

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -35,16 +35,20 @@
   return job;
 }
 
-PoolCell::PoolCell(uint64_t seed, size_t count) : random(seed) {
-  this->queues.version = 1;
-  this->queues.queues.push_back({.name = "letters",
-                                 .host = "h",
-                                 .prefix = "/letters/",
-                                 .service = base::ServiceId("desk"),
+pool::QueueTable MakePoolQueues() {
+  return {.version = 1,
+          .queues = {{.name = "letters",
+                      .host = "h",
+                      .prefix = "/letters/",
+                      .policy = {.service = base::ServiceId("desk"),
                                  .priority = 1,
                                  .attempts = 3,
                                  .stretch = 4,
-                                 .slack = std::chrono::seconds(30)});
+                                 .slack = std::chrono::seconds(30)}}}};
+}
+
+PoolCell::PoolCell(uint64_t seed, size_t count) : random(seed) {
+  this->queues = MakePoolQueues();
   for (size_t i = 0; i < count; ++i) {
     const std::string id = fmt::format("w{}", i);
     this->workers.push_back(std::make_unique<PoolWorker>(
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -170,6 +170,10 @@
   std::string lines;
 };
 
+/** Returns a configuration with the queue "letters", of priority 1 and three
+ * attempts. */
+pool::QueueTable MakePoolQueues();
+
 /** Returns a job of one step in the queue "letters". */
 pool::Job MakePoolJob(const std::string& id, uint32_t tasks, int64_t millicores,
                       base::Duration time);
--- a/fakes/pool_cell_checks.cpp
+++ b/fakes/pool_cell_checks.cpp
@@ -68,7 +68,7 @@
     }
   }
   if (this->seen_failures[order.task].size() >=
-      this->queues.queues.front().attempts) {
+      this->queues.queues.front().policy.attempts) {
     this->Report(name + " starts after its last attempt");
   }
   if (order.payload != job.payload) this->Report(name + " has no own payload");
@@ -108,7 +108,7 @@
     for (const auto& [run, at] : failures) latest = std::max(latest, at);
     if (this->last_start[row.task] > latest &&
         this->seen_failures[row.task].size() >=
-            this->queues.queues.front().attempts) {
+            this->queues.queues.front().policy.attempts) {
       this->Report(ToString(row.task) + " started after its last attempt");
     }
   }
--- a/src/agatepass/pool/admission.cpp
+++ b/src/agatepass/pool/admission.cpp
@@ -34,13 +34,14 @@
 
 std::optional<base::Duration> RetryAfterOverload(const PoolLoad& load,
                                                  const Job& job,
-                                                 const Queue& queue) {
+                                                 const QueuePolicy& policy) {
   // Without workers nothing is known; the job waits for the first ones.
   if (load.usable_millicores <= 0) return std::nullopt;
   const double chain = base::ToSeconds(LongestChain(job));
-  const double objective = queue.stretch * chain + base::ToSeconds(queue.slack);
+  const double objective =
+      policy.stretch * chain + base::ToSeconds(policy.slack);
   double advice = 0;
-  if (queue.advice) advice = base::ToSeconds(queue.advice->decide);
+  if (policy.advice) advice = base::ToSeconds(policy.advice->decide);
   const double slack = std::max(0.0, objective - kChainMargin * chain - advice);
   const double work = load.work_before + load.work_beside + EstimatedWork(job);
   const double wait = work / load.usable_millicores;
--- a/src/agatepass/pool/admission.h
+++ b/src/agatepass/pool/admission.h
@@ -34,7 +34,7 @@
  * which enough of the work before it is done. */
 std::optional<base::Duration> RetryAfterOverload(const PoolLoad& load,
                                                  const Job& job,
-                                                 const Queue& queue);
+                                                 const QueuePolicy& policy);
 
 }  // namespace agatepass::pool
 
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -70,7 +70,7 @@
                  "the store does not take writes now", time);
     return;
   }
-  if (!this->FitsAnyWorker(job, queue->service)) {
+  if (!this->FitsAnyWorker(job, queue->policy.service)) {
     this->Reject(call, job, base::ResultCode::kCanNeverRun,
                  base::Duration(std::chrono::seconds(30)),
                  "a task is larger than every worker", time);
@@ -83,7 +83,7 @@
     return;
   }
   job.accepted_ms = time.wall_ms;
-  job.policy = PolicyOf(*queue);
+  job.policy = queue->policy;
   JobState& state = this->AddJob(std::move(job), time);
   state.waiting_submits.push_back(call);
   this->QueueWrite(state);
@@ -96,7 +96,7 @@
   PoolLoad load;
   for (const auto& [id, worker] : this->workers) {
     if (!worker->listed || worker->record.draining) continue;
-    if (worker->record.service != queue.service) continue;
+    if (worker->record.service != queue.policy.service) continue;
     if (now < worker->shunned_until) continue;
     load.usable_millicores +=
         static_cast<double>(worker->record.total.millicores) *
@@ -106,22 +106,22 @@
     }
   }
   for (const auto& [id, other] : this->open) {
-    if (other->policy.service != queue.service) continue;
+    if (other->policy.service != queue.policy.service) continue;
     const double work = WaitingWork(*other);
     // Work past three times its objective only fills gaps.
     if (now > other->objective + 2 * (other->objective - other->accepted_at)) {
       continue;
     }
-    if (other->policy.priority <= queue.priority) {
+    if (other->policy.priority <= queue.policy.priority) {
       load.waiting_millicores += this->StartableMillicores(*other, now);
     }
-    if (other->policy.priority < queue.priority) {
+    if (other->policy.priority < queue.policy.priority) {
       load.work_before += work;
-    } else if (other->policy.priority == queue.priority) {
+    } else if (other->policy.priority == queue.policy.priority) {
       load.work_beside += work;
     }
   }
-  const auto wait = RetryAfterOverload(load, job, queue);
+  const auto wait = RetryAfterOverload(load, job, queue.policy);
   if (wait) {
     const auto [used, total] = this->Usage();
     this->log.Add(now, "pool overloaded",
@@ -129,8 +129,8 @@
                   "in_use_millicores={} of={} before_core_s={:.0f} "
                   "beside_core_s={:.0f} own_core_s={:.0f} "
                   "free_millicores={:.0f} waiting_millicores={:.0f}",
-                  job.id.value, queue.priority, load.usable_millicores, used,
-                  total, load.work_before / kMillicoresInCore,
+                  job.id.value, queue.policy.priority, load.usable_millicores,
+                  used, total, load.work_before / kMillicoresInCore,
                   load.work_beside / kMillicoresInCore,
                   EstimatedWork(job) / kMillicoresInCore, load.free_millicores,
                   load.waiting_millicores);
@@ -166,7 +166,7 @@
 
 void PoolPlanner::ApplyQueue(JobState& job) {
   if (const Queue* queue = this->queues.Find(job.job.queue)) {
-    job.policy = PolicyOf(*queue);
+    job.policy = queue->policy;
   } else if (job.job.policy) {
     job.policy = *job.job.policy;
   }
--- a/src/agatepass/pool/queue_table.h
+++ b/src/agatepass/pool/queue_table.h
@@ -52,32 +52,11 @@
   /** Host and path prefix of the callers' requests. */
   std::string host;
   std::string prefix;
-  /** Whose workers run the tasks. */
-  base::ServiceId service;
-  /** 0 comes first and may preempt others. */
-  uint32_t priority = 0;
-  /** Failed runs of a task after which its job has failed. */
-  uint32_t attempts = 1;
-  /** The objective is `stretch` times the longest chain, and `slack` more. */
-  double stretch = 1;
-  base::Duration slack{0};
-  /** Set if only some workers may run a step, and only the advice service knows
-   * which. */
-  std::optional<AdvicePolicy> advice;
+  QueuePolicy policy;
 
   bool operator==(const Queue&) const = default;
 };
 
-/** Returns the part of a queue that its jobs go by. */
-inline QueuePolicy PolicyOf(const Queue& queue) {
-  return {.service = queue.service,
-          .priority = queue.priority,
-          .attempts = queue.attempts,
-          .stretch = queue.stretch,
-          .slack = queue.slack,
-          .advice = queue.advice};
-}
-
 /** All queues of one version of the configuration. */
 struct QueueTable {
   uint64_t version = 0;
--- a/src/agatepass/pool/tests/admission_test.cpp
+++ b/src/agatepass/pool/tests/admission_test.cpp
@@ -9,18 +9,18 @@
 
 using std::chrono::seconds;
 
-const Queue kQueue{.name = "letters", .stretch = 3, .slack = seconds(2)};
+const QueuePolicy kPolicy{.stretch = 3, .slack = seconds(2)};
 
 Job Letter() { return fakes::MakePoolJob("a", 4, 1000, seconds(4)); }
 
 TEST(Admission, TakesWhatMeetsItsObjective) {
   const PoolLoad load{.usable_millicores = 10'000, .work_beside = 20'000};
-  EXPECT_EQ(RetryAfterOverload(load, Letter(), kQueue), std::nullopt);
+  EXPECT_EQ(RetryAfterOverload(load, Letter(), kPolicy), std::nullopt);
 }
 
 TEST(Admission, RejectsBehindTooMuchWorkAndSaysWhenToComeBack) {
   const PoolLoad load{.usable_millicores = 10'000, .work_beside = 200'000};
-  const auto wait = RetryAfterOverload(load, Letter(), kQueue);
+  const auto wait = RetryAfterOverload(load, Letter(), kPolicy);
   ASSERT_TRUE(wait);
   EXPECT_GT(*wait, seconds(10));
   EXPECT_LT(*wait, seconds(20));
@@ -28,26 +28,26 @@
 
 TEST(Admission, WorkThatComesFirstCountsToo) {
   const PoolLoad load{.usable_millicores = 10'000, .work_before = 200'000};
-  EXPECT_TRUE(RetryAfterOverload(load, Letter(), kQueue));
+  EXPECT_TRUE(RetryAfterOverload(load, Letter(), kPolicy));
 }
 
 TEST(Admission, TakesALargeJobWhenNothingWaits) {
   const PoolLoad load{.usable_millicores = 100};
-  EXPECT_EQ(RetryAfterOverload(load, Letter(), kQueue), std::nullopt);
+  EXPECT_EQ(RetryAfterOverload(load, Letter(), kPolicy), std::nullopt);
 }
 
 TEST(Admission, TakesWorkBeforeTheFirstWorkerIsKnown) {
-  EXPECT_EQ(RetryAfterOverload({}, Letter(), kQueue), std::nullopt);
+  EXPECT_EQ(RetryAfterOverload({}, Letter(), kPolicy), std::nullopt);
 }
 
 TEST(Admission, TakesWhatStartsAtOnceWhileGangsWaitForRoomInOnePiece) {
   PoolLoad load{.usable_millicores = 10'000,
                 .work_before = 200'000,
                 .free_millicores = 12'000};
-  EXPECT_EQ(RetryAfterOverload(load, Letter(), kQueue), std::nullopt);
+  EXPECT_EQ(RetryAfterOverload(load, Letter(), kPolicy), std::nullopt);
   // Other tasks take the free room first.
   load.waiting_millicores = 4'000;
-  EXPECT_TRUE(RetryAfterOverload(load, Letter(), kQueue));
+  EXPECT_TRUE(RetryAfterOverload(load, Letter(), kPolicy));
 }
 
 TEST(Admission, FreeRoomInPiecesIsNoneForAGang) {
@@ -56,7 +56,7 @@
                       .free_millicores = 100'000};
   Job gang = Letter();
   gang.steps[0].gang = true;
-  EXPECT_TRUE(RetryAfterOverload(load, gang, kQueue));
+  EXPECT_TRUE(RetryAfterOverload(load, gang, kPolicy));
 }
 
 }  // namespace
--- a/src/agatepass/pool/tests/gang_room_test.cpp
+++ b/src/agatepass/pool/tests/gang_room_test.cpp
@@ -17,7 +17,7 @@
     Queue packs = this->cell.queues.queues[0];
     packs.name = "packs";
     packs.prefix = "/packs/";
-    packs.priority = 0;
+    packs.policy.priority = 0;
     this->cell.queues.queues.push_back(packs);
     this->cell.ReplacePlanner();
   }
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -15,6 +15,8 @@
  protected:
   static constexpr int64_t kWallMs = 1'700'000'000'000;
 
+  Takeover() { this->queues.queues[0].policy.attempts = 4; }
+
   void Load(const Job& job, const JobProgress& progress) {
     this->planner.SetQueues(this->queues, this->time);
     const std::vector<StoredJob> jobs = {{job, progress}};
@@ -65,14 +67,7 @@
     return count;
   }
 
-  QueueTable queues{.version = 1,
-                    .queues = {{.name = "letters",
-                                .prefix = "/",
-                                .service = base::ServiceId("desk"),
-                                .priority = 1,
-                                .attempts = 4,
-                                .stretch = 4,
-                                .slack = seconds(10)}}};
+  QueueTable queues = fakes::MakePoolQueues();
   timeline::DecisionLog log{"test"};
   PlannerTime time{base::Instant(seconds(100)), kWallMs};
   PoolPlanner planner{{.fence = 9}, this->log, this->time};
@@ -112,7 +107,7 @@
 TEST_F(Takeover, KeepsAGangsFailuresApartFromItsMembersRuns) {
   Job job = MakePoolJob("a", 2, 1000, seconds(1));
   job.steps[0].gang = true;
-  this->queues.queues[0].attempts = 2;
+  this->queues.queues[0].policy.attempts = 2;
   JobProgress progress{.phase = JobPhase::kRunning};
   // Run 1 of the gang failed and was counted; one member's end comes again.
   progress.tasks.push_back({.index = 0, .ended_run = 1, .failed_runs = {1}});
@@ -126,7 +121,7 @@
 TEST_F(Takeover, AJobWhoseQueueIsNotConfiguredKeepsItsPolicy) {
   // Also before the first configuration is read: one failed run of four.
   Job job = MakePoolJob("a", 1, 1000, seconds(1));
-  job.policy = PolicyOf(this->queues.queues[0]);
+  job.policy = this->queues.queues[0].policy;
   this->queues.queues.clear();
   this->Load(job, {.phase = JobPhase::kRunning});
   this->Review("w0", {{1, this->task, 1, RunEnd::kFailed, ""}});
--- a/src/agatepass/pool/tests/wide_pool_test.cpp
+++ b/src/agatepass/pool/tests/wide_pool_test.cpp
@@ -22,6 +22,10 @@
   static constexpr int64_t kWallMs = 1'700'000'000'000;
 
   void SetUp() override {
+    this->queues.queues[0].policy.advice =
+        AdvicePolicy{.decide = milliseconds(10),
+                     .per_worker = milliseconds(1),
+                     .valid = seconds(60)};
     this->planner.SetQueues(this->queues, this->time);
     this->planner.Load({}, {}, this->time);
     for (size_t i = 0; i < kWorkers; ++i) {
@@ -84,18 +88,7 @@
   template <typename Other>
   void Answer(const Other& /*effect*/) {}
 
-  QueueTable queues{
-      .version = 1,
-      .queues = {{.name = "letters",
-                  .prefix = "/",
-                  .service = base::ServiceId("desk"),
-                  .priority = 1,
-                  .attempts = 4,
-                  .stretch = 4,
-                  .slack = seconds(10),
-                  .advice = AdvicePolicy{.decide = milliseconds(10),
-                                         .per_worker = milliseconds(1),
-                                         .valid = seconds(60)}}}};
+  QueueTable queues = fakes::MakePoolQueues();
   timeline::DecisionLog log{"test"};
   PlannerTime time{base::Instant(seconds(100)), kWallMs};
   PoolPlanner planner{{.fence = 9}, this->log, this->time};
--- a/src/agatepass/pool/tests/write_backlog_test.cpp
+++ b/src/agatepass/pool/tests/write_backlog_test.cpp
@@ -85,14 +85,7 @@
 
   static constexpr int kJobs = 300;
   const base::WorkerId worker{"w0"};
-  QueueTable queues{.version = 1,
-                    .queues = {{.name = "letters",
-                                .prefix = "/",
-                                .service = base::ServiceId("desk"),
-                                .priority = 1,
-                                .attempts = 4,
-                                .stretch = 40,
-                                .slack = seconds(1000)}}};
+  QueueTable queues = fakes::MakePoolQueues();
   timeline::DecisionLog log{"test"};
   PlannerTime time{base::Instant(seconds(100)), 1'700'000'000'000};
   PoolPlanner planner{{.fence = 9}, this->log, this->time};
--- a/tests/faults/pool_seeds_test.cpp
+++ b/tests/faults/pool_seeds_test.cpp
@@ -95,7 +95,7 @@
     Draw draw(seed);
     PoolCell cell(seed, kWorkers);
     if (draw(2) == 0) {
-      cell.queues.queues[0].advice =
+      cell.queues.queues[0].policy.advice =
           pool::AdvicePolicy{.decide = milliseconds(20), .valid = seconds(2)};
       cell.ReplacePlanner();
     }
