Start nothing beside a run whose size is unknown, and stop a run listed twice

A cancelled job's definition was cut down while its runs were still being stopped; the next planner found them on the worker and counted them as taking no room. Ruled out: an order of the lost planner arriving late (all runs stood in the list). Change: such a run takes the whole worker until it has ended, and definitions stay whole while a run of theirs may be present. The test found another fault: a run listed by two workers left a pointer to a freed run; the second worker is told to stop it and gets no new work meanwhile. Tests: NothingStartsBesideARunOfUnknownSize (fails without the change), OfARunThatTwoWorkersListOneIsStopped (crashed without it).

--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -40,6 +40,15 @@
   ranges.push_back({step.occurrence, step.number, index, index});
 }
 
+/** Whether a run of the job may still be present. */
+bool HasRuns(const JobState& job) {
+  return std::any_of(job.steps.begin(), job.steps.end(), [](const auto& step) {
+    return std::any_of(
+        step->tasks.begin(), step->tasks.end(),
+        [](const TaskState& task) { return task.active != nullptr; });
+  });
+}
+
 }  // namespace
 
 void PoolPlanner::QueueWrite(const JobState& job) {
@@ -328,6 +337,7 @@
   if (time.now < this->next_cut_down) return;
   this->next_cut_down = time.now + kCutDownPeriod;
   if (this->store_health.IsDown()) return;
+  std::vector<base::JobId> still_running;
   for (int i = 0; i < kMostCutDownCommits && !this->final_whole.empty(); ++i) {
     StoreCommit commit{.id = this->next_commit_id++};
     SentCommit sent;
@@ -335,16 +345,24 @@
            commit.Entries() < this->options.entries_per_commit) {
       const base::JobId id = this->final_whole.front();
       this->final_whole.pop_front();
-      if (!this->jobs.contains(id)) continue;
+      const auto job = this->jobs.find(id);
+      if (job == this->jobs.end()) continue;
+      if (HasRuns(*job->second)) {
+        // A planner that takes office has to know the room that they take.
+        still_running.push_back(id);
+        continue;
+      }
       // No revision is expected: a final job never changes again, and its
       // removal is minutes away.
       commit.writes.push_back({.key = JobKey(id), .value = kFinalJobRecord});
       sent.cut_down.push_back(id);
     }
-    if (commit.writes.empty()) return;
+    if (commit.writes.empty()) break;
     this->commits.emplace(commit.id, std::move(sent));
     this->effects.push_back(std::move(commit));
   }
+  this->final_whole.insert(this->final_whole.end(), still_running.begin(),
+                           still_running.end());
 }
 
 void PoolPlanner::RemoveExpired(const PlannerTime& time) {
@@ -363,13 +381,7 @@
       ++entry;
       continue;
     }
-    bool running = false;
-    for (const auto& step : job.steps) {
-      for (const TaskState& task : step->tasks) {
-        if (task.active != nullptr) running = true;
-      }
-    }
-    if (running) {
+    if (HasRuns(job)) {
       ++entry;
       continue;
     }
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -234,10 +234,14 @@
                                     const PlannerTime& time) {
   for (const RunningRow& row : reply.running) {
     RunState* run = this->FindRun(row.task, row.run);
-    if (run == nullptr || run->worker != &worker) {
+    if (run == nullptr) {
       this->AdoptRow(worker, row, time);
       continue;
     }
+    if (run->worker != &worker) {
+      this->StopDuplicate(worker, row, time);
+      continue;
+    }
     if (run->phase == RunPhase::kOrdered) {
       run->phase = RunPhase::kRunning;
       run->confirmed_at = time.now;
@@ -273,6 +277,20 @@
   }
 }
 
+void PoolPlanner::StopDuplicate(WorkerState& worker, const RunningRow& row,
+                                const PlannerTime& time) {
+  this->log.Add(time.now, "run listed by two workers",
+                "task={} run={} worker={}", ToString(row.task), row.run,
+                worker.record.worker.value);
+  // Its room is not accounted for: nothing starts beside it meanwhile.
+  worker.shunned_until = time.now + this->options.shun_time;
+  this->effects.push_back(StopOrder{.worker = worker.record.worker,
+                                    .endpoint = worker.record.endpoint,
+                                    .task = row.task,
+                                    .run = row.run,
+                                    .fence = this->options.fence});
+}
+
 void PoolPlanner::AdoptRow(WorkerState& worker, const RunningRow& row,
                            const PlannerTime& time) {
   StepState* step = this->FindStep(row.task);
@@ -280,9 +298,12 @@
                       step->job->inherited &&
                       !step->tasks[row.task.index].succeeded &&
                       step->tasks[row.task.index].active == nullptr;
-  RunState& run = this->AddRun(
-      row.task, row.run, worker, wanted ? step : nullptr,
-      step == nullptr ? platform::Resources{} : step->definition->need);
+  // A run of a job whose definition is gone may take any room: nothing starts
+  // beside it until it has ended.
+  const platform::Resources need =
+      step == nullptr ? worker.record.total : step->definition->need;
+  RunState& run =
+      this->AddRun(row.task, row.run, worker, wanted ? step : nullptr, need);
   run.phase = RunPhase::kRunning;
   run.ordered_at = time.now;
   run.confirmed_at = time.now;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -239,6 +239,9 @@
                          const PlannerTime& time);
   void HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
                          const ReviewReply& reply, const PlannerTime& time);
+  /** A run that another worker has too: stopped there, and not followed. */
+  void StopDuplicate(WorkerState& worker, const RunningRow& row,
+                     const PlannerTime& time);
   void AdoptRow(WorkerState& worker, const RunningRow& row,
                 const PlannerTime& time);
   void DropLapsedWorkers(const PlannerTime& time);
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -32,12 +32,14 @@
     }
   }
 
-  /** Answers the first review of a worker with ends. */
-  void Review(const std::string& worker, std::vector<EndedRow> ended) {
+  /** Answers a review of a worker with ends and runs. */
+  void Review(const std::string& worker, std::vector<EndedRow> ended,
+              std::vector<RunningRow> running = {}) {
     this->planner.OnReview({.worker = base::WorkerId(worker)},
                            {.verdict = WorkerVerdict::kDone,
                             .worker_clock_ms = 1000,
                             .born_ms = 1,
+                            .running = std::move(running),
                             .ended = std::move(ended)},
                            this->time);
   }
@@ -130,6 +132,37 @@
   EXPECT_EQ(CountStarts(this->Settle()), 1U);
 }
 
+TEST_F(Takeover, NothingStartsBesideARunOfUnknownSize) {
+  this->Load(MakePoolJob("a", 1, 1000, seconds(1)),
+             {.phase = JobPhase::kRunning});
+  // Its job is final, and its definition was cut down.
+  const RunningRow unknown{.task = {base::JobId("x"), 0, 0, 0}, .run = 1};
+  const RunningRow another{.task = {base::JobId("x"), 0, 0, 1}, .run = 1};
+  this->Review("w0", {}, {unknown});
+  this->Review("w1", {}, {another});
+  EXPECT_EQ(CountStarts(this->Settle()), 0U);
+  this->Review("w0", {{1, unknown.task, 1, RunEnd::kStopped, ""}});
+  EXPECT_EQ(CountStarts(this->Settle()), 1U);
+}
+
+TEST_F(Takeover, OfARunThatTwoWorkersListOneIsStopped) {
+  this->Load(MakePoolJob("a", 1, 1000, seconds(1)),
+             {.phase = JobPhase::kRunning});
+  const RunningRow row{.task = this->task, .run = 1};
+  this->Review("w0", {}, {row});
+  this->Review("w1", {}, {row});
+  int stops = 0;
+  for (const Effect& effect : this->Settle()) {
+    const auto* stop = std::get_if<StopOrder>(&effect);
+    if (stop == nullptr) continue;
+    EXPECT_EQ(stop->worker, base::WorkerId("w1"));
+    ++stops;
+  }
+  EXPECT_EQ(stops, 1);
+  this->Review("w0", {{1, this->task, 1, RunEnd::kSucceeded, ""}});
+  EXPECT_EQ(this->planner.open_jobs(), 0U);
+}
+
 TEST(TakeoverInTheCell, AStopWaitsOnlyForCallers) {
   PoolCell cell(1, 2);
   cell.Submit(MakePoolJob("a", 2, 1000, seconds(1)));
