Give the fit of a step a file of its own; choose held workers by name

Cause: read-through. CountFits stood in the file about urgency, a function was declared ahead of its definition, and workers with equal room were ranked by their addresses, which vary from run to run.

--- a/src/agatepass/pool/planner_decide.cpp
+++ b/src/agatepass/pool/planner_decide.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "agatepass/pool/pool_planner.h"
+#include "agatepass/pool/step_fit.h"
 #include "agatepass/pool/urgency.h"
 
 namespace agatepass::pool {
--- a/src/agatepass/pool/planner_gangs.cpp
+++ b/src/agatepass/pool/planner_gangs.cpp
@@ -4,6 +4,7 @@
 
 #include "agatepass/pool/pace.h"
 #include "agatepass/pool/pool_planner.h"
+#include "agatepass/pool/step_fit.h"
 #include "agatepass/pool/urgency.h"
 
 namespace agatepass::pool {
@@ -55,7 +56,10 @@
   bool valid = true;
 };
 
-uint32_t FitsOfGang(const StepState& step, const platform::Resources& room);
+uint32_t FitsOfGang(const StepState& step, const platform::Resources& room) {
+  return CountFits(*step.definition, room,
+                   static_cast<uint32_t>(step.tasks.size()));
+}
 
 /** Returns the workers on which room is kept: few with much room, and some to
  * spare. */
@@ -67,10 +71,12 @@
     const uint32_t fits = FitsOfGang(step, free);
     if (fits > 0) ranked.emplace_back(fits, worker);
   }
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [](const auto& left, const auto& right) {
-                     return left.first > right.first;
-                   });
+  // By name where they are alike, as the order of addresses varies.
+  std::sort(ranked.begin(), ranked.end(),
+            [](const auto& left, const auto& right) {
+              if (left.first != right.first) return left.first > right.first;
+              return left.second->record.worker < right.second->record.worker;
+            });
   const double wanted = kHeldPlaces * static_cast<double>(step.tasks.size());
   std::set<const WorkerState*> held;
   double places = 0;
@@ -82,11 +88,6 @@
   return held;
 }
 
-uint32_t FitsOfGang(const StepState& step, const platform::Resources& room) {
-  return CountFits(*step.definition, room,
-                   static_cast<uint32_t>(step.tasks.size()));
-}
-
 }  // namespace
 
 void PoolPlanner::PlaceGang(StepState& step, std::vector<Candidate> candidates,
--- /dev/null
+++ b/src/agatepass/pool/step_fit.h
@@ -0,0 +1,29 @@
+/** \file
+ * How many tasks of a step fit into a room.
+ */
+#ifndef AGATEPASS_POOL_STEP_FIT_H_
+#define AGATEPASS_POOL_STEP_FIT_H_
+
+#include <cstdint>
+
+#include "agatepass/platform/resources.h"
+#include "agatepass/pool/job.h"
+
+namespace agatepass::pool {
+
+/** Returns how many tasks of a step fit into a room, at most `most`. */
+inline uint32_t CountFits(const Step& step, platform::Resources room,
+                          uint32_t most) {
+  platform::Resources need = step.need;
+  if (step.uses_idle_processors) need.millicores = 0;
+  uint32_t fits = 0;
+  while (fits < most && need.FitsIn(room)) {
+    room -= need;
+    ++fits;
+  }
+  return fits;
+}
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_STEP_FIT_H_
--- a/src/agatepass/pool/urgency.h
+++ b/src/agatepass/pool/urgency.h
@@ -37,19 +37,6 @@
   return job.policy.priority == 0 ? Urgency::kUrgent : Urgency::kInTime;
 }
 
-/** Returns how many tasks of a step fit into a room, at most `most`. */
-inline uint32_t CountFits(const Step& step, platform::Resources room,
-                          uint32_t most) {
-  platform::Resources need = step.need;
-  if (step.uses_idle_processors) need.millicores = 0;
-  uint32_t fits = 0;
-  while (fits < most && need.FitsIn(room)) {
-    room -= need;
-    ++fits;
-  }
-  return fits;
-}
-
 }  // namespace agatepass::pool
 
 #endif  // AGATEPASS_POOL_URGENCY_H_
