Share the daemons' main; bound the wait for a slow store before standing

Besides, a host waited twice the store's answer time before it stood for planner: 0.6 s for all hosts alike while the store was slow. Test: ASlowStoreHoldsNobodyUpForLong.

--- a/daemons/agatepassd_main.cpp
+++ b/daemons/agatepassd_main.cpp
@@ -3,13 +3,12 @@
 #include <cstdlib>
 #include <iostream>
 #include <memory>
-#include <string>
 
-#include "CLI/CLI.hpp"
 #include "agatepass/base/event_loop.h"
 #include "agatepass/gate/gate.h"
 #include "agatepass/node/host_task.h"
 #include "agatepass/node/stop_sequence.h"
+#include "agatepass/settings/daemon_main.h"
 #include "agatepass/settings/host_settings.h"
 #include "spdlog/spdlog.h"
 
@@ -18,8 +17,6 @@
 using agatepass::base::EventLoop;
 using agatepass::settings::HostSettings;
 
-constexpr int kExitSettings = 2;
-
 int Serve(const HostSettings& settings) {
   EventLoop loop;
   agatepass::node::HostTask task(loop, settings);
@@ -47,23 +44,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app("agatepassd: the entry host of the agatepass scheduler");
-  std::string path;
-  bool check = false;
-  app.add_option("--settings", path, "INI file with the host's settings")
-      ->required();
-  app.add_flag("--check", check, "only check the settings");
-  app.set_version_flag("--version", AGATEPASS_VERSION);
-  CLI11_PARSE(app, argc, argv);
-  const auto settings = agatepass::settings::LoadHostSettings(path);
-  if (!settings.ok()) {
-    std::cerr << settings.status().message() << '\n';
-    return kExitSettings;
-  }
-  if (check) {
-    std::cout << path << ": settings are valid\n";
-    return EXIT_SUCCESS;
-  }
-  spdlog::set_level(spdlog::level::from_str(settings->log_level));
-  return Serve(*settings);
+  return agatepass::settings::RunDaemon(
+      "agatepassd: the entry host of the agatepass scheduler",
+      AGATEPASS_VERSION, argc, argv, agatepass::settings::LoadHostSettings,
+      [](const auto& settings) {
+        spdlog::set_level(spdlog::level::from_str(settings.log_level));
+        return Serve(settings);
+      });
 }
--- a/src/agatepass/pool/host_ranking.cpp
+++ b/src/agatepass/pool/host_ranking.cpp
@@ -15,6 +15,9 @@
 /** Store answers that a host waits: planning takes several calls each time. */
 constexpr int kStoreAnswers = 2;
 
+/** Longest wait for that: a store that is slow is slow for all hosts. */
+constexpr base::Duration kLongestStoreDelay = std::chrono::milliseconds(60);
+
 /** Spread of the waits of equal hosts. */
 constexpr double kDrawSeconds = 0.015;
 
@@ -30,7 +33,7 @@
       kDrawSeconds * draw;
   return std::chrono::duration_cast<base::Duration>(
              std::chrono::duration<double>(seconds)) +
-         kStoreAnswers * store_answer;
+         std::min(kStoreAnswers * store_answer, kLongestStoreDelay);
 }
 
 bool IsMuchBetter(const PlannerCandidate& other, double own_processor_share) {
--- a/src/agatepass/pool/tests/host_ranking_test.cpp
+++ b/src/agatepass/pool/tests/host_ranking_test.cpp
@@ -18,6 +18,10 @@
             StandDelay(0.25, milliseconds(20), 0));
 }
 
+TEST(HostRanking, ASlowStoreHoldsNobodyUpForLong) {
+  EXPECT_LT(StandDelay(0.25, milliseconds(300), 1), milliseconds(150));
+}
+
 TEST(HostRanking, ASlightlyBetterHostIsNoReasonToLeaveOffice) {
   EXPECT_FALSE(IsMuchBetter({.processor_share = 0.3}, 0.25));
   EXPECT_TRUE(IsMuchBetter({.processor_share = 0.5}, 0.25));
