--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -84,6 +84,8 @@
         this);
     this->written = evbuffer_add_cb(bufferevent_get_output(stream),
                                     &Connection::OnWritten, this);
+    this->read = evbuffer_add_cb(bufferevent_get_input(stream),
+                                 &Connection::OnRead, this);
     this->timer =
         std::make_unique<LoopEvent>(client.loop.handle(), -1, 0, [this] {
           this->End({.delivery = Delivery::kUnknown, .fault = "timeout"});
@@ -94,6 +96,7 @@
     this->callback = nullptr;
     bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
     evbuffer_remove_cb_entry(bufferevent_get_output(stream), this->written);
+    evbuffer_remove_cb_entry(bufferevent_get_input(stream), this->read);
     evhttp_connection_set_closecb(this->connection, nullptr, nullptr);
     evhttp_connection_free(this->connection);
   }
@@ -104,6 +107,7 @@
   void Start(const HttpRequest& request, Duration timeout, Callback on_end) {
     this->callback = std::move(on_end);
     this->bytes_written = 0;
+    this->bytes_read = 0;
     this->fault.clear();
     evhttp_request* message = evhttp_request_new(&Connection::OnAnswer, this);
     evhttp_request_set_error_cb(
@@ -151,6 +155,11 @@
     self->client.sent += info->n_deleted;
   }
 
+  static void OnRead(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                     void* argument) {
+    static_cast<Connection*>(argument)->bytes_read += info->n_added;
+  }
+
   static void OnAnswer(evhttp_request* message, void* argument) {
     auto* self = static_cast<Connection*>(argument);
     if (message == nullptr || evhttp_request_get_response_code(message) == 0) {
@@ -193,7 +202,10 @@
 
   void End(HttpOutcome outcome) {
     if (!this->callback) return;
-    if (outcome.delivery != Delivery::kAnswered) this->broken = true;
+    if (outcome.delivery != Delivery::kAnswered) {
+      this->broken = true;
+      outcome.partial_answer_bytes = this->bytes_read;
+    }
     if (outcome.delivery == Delivery::kUnknown && this->bytes_written == 0) {
       outcome.delivery = Delivery::kNotSent;
     }
@@ -215,10 +227,12 @@
 
   evhttp_connection* connection = nullptr;
   evbuffer_cb_entry* written = nullptr;
+  evbuffer_cb_entry* read = nullptr;
   std::unique_ptr<LoopEvent> timer;
   Callback callback;
   std::string fault;
   size_t bytes_written = 0;
+  size_t bytes_read = 0;
   bool closed = false;
   bool broken = false;
 };
--- a/src/agatepass/base/http_message.h
+++ b/src/agatepass/base/http_message.h
@@ -4,6 +4,7 @@
 #ifndef AGATEPASS_BASE_HTTP_MESSAGE_H_
 #define AGATEPASS_BASE_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -86,6 +87,8 @@
   bool refused = false;
   /** Why there is no answer, for logs. */
   std::string fault;
+  /** Without a whole answer: the number of its bytes that arrived. */
+  size_t partial_answer_bytes = 0;
 };
 
 }  // namespace agatepass::base
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -82,8 +82,10 @@
   if (found == this->workers.end()) return;
   found->second->listed = false;
   found->second->unlisted_at = time.now;
-  this->log.Add(time.now, "worker unlisted", "worker={} runs={}", id.value,
-                found->second->runs.size());
+  this->log.Add(time.now, "worker unlisted",
+                "worker={} runs={} draining={} last_answer_ms={}", id.value,
+                found->second->runs.size(), found->second->record.draining,
+                base::ToMilliseconds(time.now - found->second->last_answer_at));
 }
 
 std::optional<int64_t> PoolPlanner::LeaseOnWorkerClock(
@@ -405,7 +407,16 @@
   this->log.Add(time.now, "runs lost", "worker={} runs={} reason=\"{}\"",
                 worker.record.worker.value, worker.runs.size(), reason);
   const std::vector<RunState*> lost = worker.runs;
-  for (RunState* run : lost) this->HandleAbsentRun(*run, time.now, time);
+  for (RunState* run : lost) {
+    this->log.Add(time.now, "run given up",
+                  "task={} run={} worker={} phase={} percent={} "
+                  "last_answer_ms={}",
+                  ToString(run->task), run->run_number,
+                  worker.record.worker.value, static_cast<int>(run->phase),
+                  run->last_progress.percent,
+                  base::ToMilliseconds(time.now - worker.last_answer_at));
+    this->HandleAbsentRun(*run, time.now, time);
+  }
 }
 
 void PoolPlanner::DropExpiredWorkers(const PlannerTime& time) {
