Show a task that runs again after its draining worker shut down

What callers saw: a task ran twice around the end of a draining worker (TWICE).

Change: the stand-in's worker shuts down as announced: the runs due by that instant end first, and what it lists counts as acknowledged, as the users' rules count it. Draining workers report every 1.5 s how much time is left; the store may be slow.

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -19,6 +19,8 @@
 constexpr base::Duration kRequestTimeout = std::chrono::milliseconds(900);
 /** Time until a sync to an unreachable worker fails. */
 constexpr base::Duration kUnreachableSyncDelay = std::chrono::milliseconds(800);
+/** Period at which workers report about themselves. */
+constexpr base::Duration kReportPeriod = std::chrono::milliseconds(1500);
 constexpr base::Duration kCommitTimeout = std::chrono::milliseconds(1500);
 constexpr int64_t kWorkerMillicores = 8000;
 constexpr int64_t kWorkerMemoryMib = 16384;
@@ -139,7 +141,8 @@
   planner->planner->Load(jobs, roster, this->GetPlannerTime());
   for (const auto& worker : this->workers) {
     if (this->unlisted_workers.contains(worker->record.worker)) continue;
-    planner->planner->OnWorker(worker->record, this->GetPlannerTime());
+    planner->planner->OnWorker(this->GetReportedRecord(*worker),
+                               this->GetPlannerTime());
   }
   this->planners.push_back(std::move(planner));
 }
@@ -159,8 +162,14 @@
   this->Schedule(kRestartDuration, [this, id = worker.record.worker] {
     this->restarting_workers.erase(id);
   });
-  // The other members of the gangs of the lost runs end too. No lease has
-  // expired; kLeaseExpired is one of the ends that cause this.
+  this->EndLostRuns(worker, lost_runs);
+}
+
+void PoolCell::EndLostRuns(
+    const PoolWorker& worker,
+    const std::map<pool::TaskName, pool::RunNumber>& lost_runs) {
+  // No lease has expired; kLeaseExpired is one of the ends that make the other
+  // members end.
   for (const auto& [task, run] : lost_runs) {
     this->OnRunEnded(worker, task, run, pool::RunEnd::kLeaseExpired);
   }
@@ -178,17 +187,34 @@
   }
 }
 
-void PoolCell::DrainWorker(size_t index, base::Duration remaining) {
+pool::WorkerRecord PoolCell::GetReportedRecord(const PoolWorker& worker) const {
+  pool::WorkerRecord record = worker.record;
+  if (const auto since = this->draining_since.find(record.worker);
+      since != this->draining_since.end()) {
+    const auto reports = (this->current_time - since->second) / kReportPeriod;
+    record.remaining =
+        std::max(record.remaining - reports * kReportPeriod, base::Duration(0));
+  }
+  return record;
+}
+
+void PoolCell::ReportDraining(size_t index, base::Duration remaining) {
   PoolWorker& worker = *this->workers[index];
   worker.record.draining = true;
   worker.record.remaining = remaining;
+  this->draining_since[worker.record.worker] = this->current_time;
   if (pool::PoolPlanner* planner = this->planner()) {
     planner->OnWorker(worker.record, this->GetPlannerTime());
   }
+}
+
+void PoolCell::DrainWorker(size_t index, base::Duration remaining) {
+  this->ReportDraining(index, remaining);
   this->Schedule(remaining, [this, index] {
-    this->CrashAndRestartWorker(index);
-    this->faults.unreachable_workers.insert(
-        this->workers[index]->record.worker);
+    PoolWorker& worker = *this->workers[index];
+    this->shut_down_workers.insert(worker.record.worker);
+    this->EndLostRuns(worker, worker.ShutDown(this->current_time,
+                                              worker.record.started_at_ms + 1));
     this->UnlistWorker(index);
   });
 }
@@ -300,6 +326,7 @@
 PoolWorker* PoolCell::FindReachableWorker(const base::WorkerId& id) {
   if (this->faults.unreachable_workers.contains(id)) return nullptr;
   if (this->restarting_workers.contains(id)) return nullptr;
+  if (this->shut_down_workers.contains(id)) return nullptr;
   for (const auto& worker : this->workers) {
     if (worker->record.worker == id) return worker.get();
   }
@@ -450,7 +477,8 @@
                                    ? base::Duration(std::chrono::seconds(3))
                                    : kOneWayLatency;
   this->Schedule(
-      delay, [this, fence = planner.fence, commit, deliver, reply_lost] {
+      delay + this->faults.commit_duration,
+      [this, fence = planner.fence, commit, deliver, reply_lost] {
         const pool::CommitReply reply = this->ApplyCommit(fence, commit);
         if (!reply_lost)
           this->Schedule(kOneWayLatency, [deliver, reply] { deliver(reply); });
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -30,6 +30,8 @@
   bool commits_not_sent = false;
   /** Whether commits are neither applied nor answered. Reads still succeed. */
   bool commits_unanswered = false;
+  /** Time that the store takes for a commit, beyond the way there and back. */
+  base::Duration commit_duration{0};
   /** Workers that no planner can reach. */
   std::set<base::WorkerId> unreachable_workers;
   /** Share of the tasks whose first run fails. */
@@ -66,7 +68,11 @@
   /** The worker loses its runs and is unreachable until it restarts by itself
    * as a new incarnation. */
   void CrashAndRestartWorker(size_t index);
-  /** Reports the worker as draining; after `remaining` it crashes, stays
+  /** Reports the worker as draining, with the time until it shuts down. Later
+   * planners see the time that it reported last: it reports each
+   * kReportPeriod. */
+  void ReportDraining(size_t index, base::Duration remaining);
+  /** Reports the worker as draining; after `remaining` it shuts down, stays
    * unreachable and is no longer listed. */
   void DrainWorker(size_t index, base::Duration remaining);
   /** The leader and all later planners see the worker as not listed. */
@@ -141,6 +147,12 @@
   void AnswerSync(const OpenSync& sync);
   void AnswerDueSyncs();
   PoolWorker* FindReachableWorker(const base::WorkerId& worker);
+  /** The worker has lost its runs: the other members of their gangs end, and
+   * the syncs that wait at it fail. */
+  void EndLostRuns(const PoolWorker& worker,
+                   const std::map<pool::TaskName, pool::RunNumber>& lost_runs);
+  /** Returns the worker's entry in the store as of now. */
+  pool::WorkerRecord GetReportedRecord(const PoolWorker& worker) const;
   /** Returns true with the given probability. */
   bool DrawTrue(double probability);
   pool::CommitReply ApplyCommit(pool::Fence fence,
@@ -169,6 +181,9 @@
   std::vector<std::unique_ptr<PoolWorker>> workers;
   /** Workers that planners do not see in the list of workers. */
   std::set<base::WorkerId> unlisted_workers;
+  /** Draining workers, with the time of their first report of it. */
+  std::map<base::WorkerId, base::Instant> draining_since;
+  std::set<base::WorkerId> shut_down_workers;
   /** Workers that crashed and have not restarted yet. */
   std::set<base::WorkerId> restarting_workers;
   std::vector<OpenSync> open_syncs;
--- a/fakes/pool_worker.cpp
+++ b/fakes/pool_worker.cpp
@@ -167,6 +167,15 @@
   }
 }
 
+std::map<pool::TaskName, pool::RunNumber> PoolWorker::ShutDown(
+    base::Instant now, int64_t started_at_ms) {
+  this->Advance(now);
+  this->DropAcknowledgedEnds(this->last_sequence_number);
+  const auto lost_runs = this->GetRuns();
+  this->Crash(started_at_ms);
+  return lost_runs;
+}
+
 void PoolWorker::Crash(int64_t started_at_ms) {
   this->record.started_at_ms = started_at_ms;
   this->highest_fence = 0;
--- a/fakes/pool_worker.h
+++ b/fakes/pool_worker.h
@@ -65,6 +65,14 @@
   void EndGangMember(const pool::TaskName& task, pool::RunNumber run,
                      pool::RunEnd end);
 
+  /** Shuts down as announced: the runs that are due by `now` end first. All
+   * ends that it lists then count as acknowledged, read or not: who starts
+   * their tasks again repeats work that was done.
+   * \param started_at_ms start time of the next incarnation under its id.
+   * \return the runs that it cut short. */
+  std::map<pool::TaskName, pool::RunNumber> ShutDown(base::Instant now,
+                                                     int64_t started_at_ms);
+
   /** Drops all state and starts another incarnation under the same id.
    * \param started_at_ms start time that identifies the new incarnation. */
   void Crash(int64_t started_at_ms);
