Stop the runs of a draining worker before it shuts down

What callers saw: a task ran again after a run of it had succeeded (TWICE).

Cause: a draining worker announces how long it stays (remaining_ms), and the planner let its runs go on until it was gone. A run that ends in that instant is listed by the worker and read by nobody; the planner then took all runs left for not done and started their tasks again. It did so on a sign that proves nothing: a sync that could not be sent, which a connection attempt that times out is too, after the entry was removed. A worker that is merely cut off looks the same, and its tasks ran twice at the same time.

Change: runs are stopped as early before the announced shutdown as a stop may take, and 0.4 s, so that their ends, with checkpoints, are read while the worker still answers. The earliest shutdown that any report tells counts; a report read at the beginning of a term may be one report period old. While ends are not stored, the worker is asked each 100 ms then. HasShutDown is gone: what is left counts as present until the lease has expired, and the lease is not renewed beyond the announced shutdown, so that this is soon. lease_expires_at holds the end of earlier terms' leases too, in place of the age of the last answer, which left 0.13 s uncovered on a slow clock.

Ruled out: an answer that came and was not used (HttpClosingServer). Not covered: a report that arrives more than 0.4 s late, and a stop that the worker does not carry out in its time.

--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -21,6 +21,18 @@
   base::Duration worker_lease = std::chrono::milliseconds(6500);
   /** Minimum rate of a worker's clock, relative to the planner's clock. */
   double min_clock_rate = 0.98;
+  /** Longest time that a worker takes to stop a run. */
+  base::Duration max_stop_time = std::chrono::milliseconds(900);
+  /** How long before the shutdown of a draining worker its runs must have
+   * ended, so that their ends can be read: covers the way of the stops and of
+   * the ends, and a report of the worker that arrived late. */
+  base::Duration shutdown_margin = std::chrono::milliseconds(400);
+  /** Period at which workers report about themselves. A report that is read at
+   * the beginning of a term may be as old. */
+  base::Duration worker_report_period = std::chrono::milliseconds(1500);
+  /** Delay before the next sync with a worker that is about to shut down while
+   * the effect of reported ends is not stored. */
+  base::Duration last_syncs_delay = std::chrono::milliseconds(100);
   /** How long a sync with a worker that has runs waits for one to end. */
   base::Duration sync_wait = std::chrono::milliseconds(1000);
   /** Same, for a worker without runs. */
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -12,27 +12,13 @@
  * is quarantined after each unanswered call. */
 constexpr uint32_t kUnansweredCallsToLog = 1;
 
-/** Period at which workers with expired leases are looked for. */
-constexpr base::Duration kExpiryCheckPeriod = std::chrono::milliseconds(25);
+/** Period at which workers that are about to shut down, or whose leases have
+ * expired, are looked for. */
+constexpr base::Duration kWorkerCheckPeriod = std::chrono::milliseconds(25);
 
 /** Prefix of labels that name a rack; other labels name the kind of worker. */
 constexpr char kRackPrefix = 'r';
 
-/** If the store entry disappears this soon after the worker's last answer, the
- * worker removed it itself: the entry of an unresponsive worker lasts longer.
- */
-constexpr base::Duration kMaxAnswerAgeAtRemoval = std::chrono::seconds(3);
-
-/** Whether a draining worker has shut down: its store entry was removed while
- * it still answered, and nothing listens at its address since. */
-bool HasShutDown(const WorkerState& worker, const SyncRequest& request,
-                 WorkerCallResult result) {
-  return worker.record.draining && !worker.listed &&
-         result == WorkerCallResult::kNotSent &&
-         request.sent_at > worker.unlisted_at &&
-         worker.unlisted_at - worker.last_answer_at < kMaxAnswerAgeAtRemoval;
-}
-
 /** Returns the label that names the worker's rack ("r", digits, "-", digits),
  * or an empty id if there is none. */
 base::RackId RackOf(const WorkerRecord& record) {
@@ -52,18 +38,21 @@
 void PoolPlanner::OnWorker(const WorkerRecord& record,
                            const PlannerTime& time) {
   std::unique_ptr<WorkerState>& slot = this->workers[record.worker];
-  if (!slot) {
+  const bool is_first_report = !slot;
+  if (is_first_report) {
     slot = std::make_unique<WorkerState>();
     slot->index = this->workers_by_index.size();
     this->workers_by_index.push_back(slot.get());
     slot->next_sync = time.now;
     this->QueueSync(*slot);
     slot->last_answer_at = time.now;
+    slot->lease_expires_at = this->inherited_runs_expire_at;
   } else if (slot->started_at_ms != 0 && record.started_at_ms != 0 &&
              slot->started_at_ms != record.started_at_ms) {
     // Its runs are kept until the next sync shows which are left: requests may
     // have reached the new incarnation.
     this->ForgetIncarnation(*slot, time);
+    slot->leaves_at.reset();
   }
   if (record.draining && !slot->record.draining) {
     this->log.Add(time.now, "worker draining", "worker={} remaining_ms={}",
@@ -72,6 +61,10 @@
   slot->record = record;
   slot->rack = RackOf(record);
   slot->listed = true;
+  this->RecordDraining(
+      *slot,
+      is_first_report ? this->options.worker_report_period : base::Duration(0),
+      time.now);
   this->roster_may_be_incomplete = true;
   this->scheduling_needed = true;
 }
@@ -81,7 +74,6 @@
   const auto found = this->workers.find(id);
   if (found == this->workers.end()) return;
   found->second->listed = false;
-  found->second->unlisted_at = time.now;
   this->log.Add(time.now, "worker unlisted",
                 "worker={} runs={} draining={} last_answer_ms={}", id.value,
                 found->second->runs.size(), found->second->record.draining,
@@ -92,7 +84,7 @@
     const WorkerState& worker, base::Instant now) const {
   if (!worker.clock_ms) return std::nullopt;
   return *worker.clock_ms + base::ToMilliseconds(now - worker.clock_read_at) +
-         base::ToMilliseconds(this->options.worker_lease);
+         base::ToMilliseconds(this->GetLeaseTime(worker, now));
 }
 
 void PoolPlanner::RecordAnswer(WorkerState& worker, int64_t clock_ms,
@@ -160,12 +152,10 @@
   // The lease ends at a fixed reading of the worker's clock, whenever the
   // worker processes the request. That reading was computed from the latest
   // known one, and the clock may run slow from then on.
-  const base::Duration max_lease_time =
-      std::chrono::duration_cast<base::Duration>(
-          (this->options.worker_lease + (now - worker.clock_read_at)) /
-          this->options.min_clock_rate);
+  const base::Duration lease_time =
+      this->GetLeaseTime(worker, now) + (now - worker.clock_read_at);
   worker.lease_expires_at =
-      std::max(worker.lease_expires_at, now + max_lease_time);
+      std::max(worker.lease_expires_at, now + this->OnSlowestClock(lease_time));
 }
 
 void PoolPlanner::SendStops(const PlannerTime& time) {
@@ -212,18 +202,12 @@
   }
 }
 
-void PoolPlanner::HandleFailedSync(WorkerState& worker,
-                                   const SyncRequest& request,
-                                   WorkerCallResult result,
+void PoolPlanner::HandleFailedSync(WorkerState& worker, WorkerCallResult result,
                                    const PlannerTime& time) {
   if (result == WorkerCallResult::kOtherIncarnation) {
     this->EndIncarnation(worker, time);
   } else {
     this->RecordUnansweredCall(worker, time);
-    if (HasShutDown(worker, request, result)) {
-      this->DropLostRuns(worker, "worker drained and shut down", time);
-      worker.lease_expires_at = {};
-    }
   }
   worker.next_sync = time.now + this->options.sync_retry_delay;
 }
@@ -242,7 +226,7 @@
   (quick ? worker.quick_sync_in_flight : worker.sync_in_flight) = false;
   this->QueueSync(worker);
   if (reply.result != WorkerCallResult::kDone) {
-    this->HandleFailedSync(worker, request, reply.result, time);
+    this->HandleFailedSync(worker, reply.result, time);
     return;
   }
   if (worker.started_at_ms != 0 &&
@@ -252,6 +236,10 @@
   worker.started_at_ms = reply.started_at_ms;
   this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
   if (!std::exchange(worker.synced, true)) {
+    // The fence of this sync ends renewals by earlier planners.
+    worker.lease_expires_at =
+        std::min(worker.lease_expires_at,
+                 time.now + this->OnSlowestClock(this->options.worker_lease));
     this->log.Add(time.now, "worker synced", "worker={} running={} ended={}",
                   request.worker.value, reply.running.size(),
                   reply.ended.size());
@@ -263,9 +251,12 @@
   this->HandleReportedRuns(worker, reply, time);
   this->HandleMissingRuns(worker, request.sent_at, reply, time);
   this->unsynced_workers.erase(request.worker);
-  worker.next_sync = worker.unstored_ends.empty()
-                         ? time.now
-                         : time.now + this->options.sync_retry_delay;
+  worker.next_sync = time.now;
+  if (!worker.unstored_ends.empty()) {
+    worker.next_sync += this->IsAboutToShutDown(worker, time.now)
+                            ? this->options.last_syncs_delay
+                            : this->options.sync_retry_delay;
+  }
   this->scheduling_needed = true;
 }
 
@@ -404,6 +395,7 @@
                                const PlannerTime& time) {
   if (worker.runs.empty()) return;
   ++this->totals.workers_lost;
+  this->totals.runs_given_up += worker.runs.size();
   this->log.Add(time.now, "runs lost", "worker={} runs={} reason=\"{}\"",
                 worker.record.worker.value, worker.runs.size(), reason);
   const std::vector<RunState*> lost = worker.runs;
@@ -419,24 +411,29 @@
   }
 }
 
+void PoolPlanner::CheckWorkers(const PlannerTime& time) {
+  if (time.now < this->next_worker_check) return;
+  this->next_worker_check = time.now + kWorkerCheckPeriod;
+  this->StopRunsBeforeShutdown(time);
+  this->DropExpiredWorkers(time);
+}
+
 void PoolPlanner::DropExpiredWorkers(const PlannerTime& time) {
-  if (time.now < this->next_expiry_check) return;
-  this->next_expiry_check = time.now + kExpiryCheckPeriod;
   for (auto entry = this->workers.begin(); entry != this->workers.end();) {
     WorkerState& worker = *entry->second;
-    // Whether even the latest lease that the worker may hold has expired.
-    const bool expired =
-        time.now > worker.lease_expires_at &&
-        time.now > worker.last_answer_at + this->options.worker_lease;
-    if (!expired) {
+    // The latest lease that the worker may hold has not expired on the slowest
+    // clock allowed.
+    if (time.now <= worker.lease_expires_at) {
       ++entry;
       continue;
     }
     if (!worker.runs.empty())
       this->DropLostRuns(worker, "worker lease expired", time);
-    const bool removable = !worker.listed && !worker.sync_in_flight &&
-                           worker.gang_reservations.empty() &&
-                           worker.reserved_for_tickets == platform::Resources{};
+    const bool removable =
+        !worker.listed && !worker.sync_in_flight &&
+        time.now > worker.last_answer_at + this->options.worker_lease &&
+        worker.gang_reservations.empty() &&
+        worker.reserved_for_tickets == platform::Resources{};
     if (removable) {
       this->log.Add(time.now, "worker removed", "worker={}",
                     entry->first.value);
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -65,11 +65,9 @@
 PoolPlanner::PoolPlanner(const PlannerOptions& options,
                          timeline::DecisionLog& log, const PlannerTime& time)
     : options(options), log(log), term_started_at(time.now) {
-  this->inherited_runs_expire_at =
-      time.now +
-      std::chrono::duration_cast<base::Duration>(options.worker_lease /
-                                                 options.min_clock_rate) +
-      kSupersededPlannerGrace;
+  this->inherited_runs_expire_at = time.now +
+                                   this->OnSlowestClock(options.worker_lease) +
+                                   kSupersededPlannerGrace;
 }
 
 void PoolPlanner::SetQueues(const QueueTable& table, const PlannerTime& time) {
@@ -142,7 +140,7 @@
 
 std::vector<Effect> PoolPlanner::Advance(const PlannerTime& time) {
   if (!this->superseded) {
-    this->DropExpiredWorkers(time);
+    this->CheckWorkers(time);
     this->DropUnlistedUnsyncedWorkers(time.now);
     this->SendStops(time);
     if (!this->handing_over && time.now >= this->earliest_scheduling_at &&
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -66,8 +66,11 @@
   uint64_t starts_outcome_unknown = 0;
   uint64_t ends = 0;
   uint64_t failures = 0;
-  /** Times that a worker was lost with its runs. */
+  /** Times that a worker was lost with its runs, and number of these runs. */
   uint64_t workers_lost = 0;
+  uint64_t runs_given_up = 0;
+  /** Runs stopped because their worker was about to shut down. */
+  uint64_t runs_stopped_before_shutdown = 0;
   /** Runs stopped because they stalled. */
   uint64_t stalled_runs_stopped = 0;
   /** Runs stopped to free capacity for gangs of queues with a higher priority.
@@ -280,8 +283,8 @@
   void SendSync(WorkerState& worker, bool long_poll, const PlannerTime& time);
   /** Handles a sync that failed or was not answered, and schedules the next
    * one. */
-  void HandleFailedSync(WorkerState& worker, const SyncRequest& request,
-                        WorkerCallResult result, const PlannerTime& time);
+  void HandleFailedSync(WorkerState& worker, WorkerCallResult result,
+                        const PlannerTime& time);
   void SendStops(const PlannerTime& time);
   /** Returns the end of a lease that is granted now, in milliseconds on the
    * worker's clock; nothing while that clock is unknown. */
@@ -313,6 +316,9 @@
    * job needs it. */
   void HandleUntrackedRun(WorkerState& worker, const ReportedRun& report,
                           const PlannerTime& time);
+  /** Looks for workers that are about to shut down or whose leases have
+   * expired; does nothing if it did so a moment ago. */
+  void CheckWorkers(const PlannerTime& time);
   void DropExpiredWorkers(const PlannerTime& time);
   /** Removes a worker without runs from the planner's state. */
   void RemoveWorker(WorkerState& worker);
@@ -326,6 +332,24 @@
    * (pool_planner.cpp). */
   void EndLeadership(std::string reason);
 
+  // planner_draining.cpp
+  /** Records when the worker may shut down, from its latest report.
+   * \param report_age greatest age of that report. */
+  void RecordDraining(WorkerState& worker, base::Duration report_age,
+                      base::Instant now);
+  /** Whether the runs of a draining worker must be stopped by now, so that
+   * their ends can be read before it shuts down. */
+  bool IsAboutToShutDown(const WorkerState& worker, base::Instant now) const;
+  /** Stops the runs of workers that are about to shut down. */
+  void StopRunsBeforeShutdown(const PlannerTime& time);
+  /** Returns the duration of a lease that is granted now: not beyond the time
+   * at which a draining worker may shut down. */
+  base::Duration GetLeaseTime(const WorkerState& worker,
+                              base::Instant now) const;
+  /** Returns the longest time that a worker's clock may take to advance by
+   * `duration`. */
+  base::Duration OnSlowestClock(base::Duration duration) const;
+
   // planner_progress.cpp
   void CheckProgress(RunState& run, int percent, const PlannerTime& time);
 
@@ -459,7 +483,7 @@
   std::vector<WorkerState*> sync_queue;
   /** Workers with ends whose effect is not stored; some may have none left. */
   std::vector<WorkerState*> workers_with_unstored_ends;
-  base::Instant next_expiry_check;
+  base::Instant next_worker_check;
   /** Loads summed up lately, by service. */
   std::map<base::ServiceId, ServiceLoad> loads;
   std::map<RunKey, std::unique_ptr<RunState>> runs;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -224,7 +224,9 @@
   base::RackId rack;
   /** Whether the store lists it. */
   bool listed = false;
-  base::Instant unlisted_at;
+  /** While it drains: the earliest time at which it may shut down, as far as
+   * its reports tell. */
+  std::optional<base::Instant> leaves_at;
   /** Whether the stored roster of workers that may have runs contains it. */
   bool in_roster = false;
   /** Start time of its incarnation in Unix milliseconds, as it reported it; 0
@@ -248,7 +250,8 @@
   /** The worker's clock in milliseconds, as it was at `clock_read_at`. */
   std::optional<int64_t> clock_ms;
   base::Instant clock_read_at;
-  /** When all its runs have ended if its lease is not renewed. */
+  /** When all its runs have ended if its lease is not renewed, including runs
+   * under leases of earlier terms. */
   base::Instant lease_expires_at;
   base::Instant last_answer_at;
   uint32_t unanswered_calls = 0;
--- a/src/agatepass/pool/tests/draining_worker_test.cpp
+++ b/src/agatepass/pool/tests/draining_worker_test.cpp
@@ -114,5 +114,38 @@
   EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
 }
 
+TEST(DrainingWorker, ItsLeaseIsNotRenewedPastItsAnnouncedShutdown) {
+  timeline::DecisionLog log("test");
+  PlannerTime time{base::Instant(seconds(100)), 0};
+  PoolPlanner planner({.fence = 9}, log, time);
+  WorkerRecord record{.worker = base::WorkerId("w0"), .started_at_ms = 1};
+  planner.OnWorker(record, time);
+  constexpr int64_t kClockMs = 70'000;
+  // The first sync reads the worker's clock; the later ones renew its lease.
+  const auto sync = [&]() -> std::optional<int64_t> {
+    std::optional<int64_t> lease_until_ms;
+    for (const Effect& effect : planner.Advance(time)) {
+      const auto* request = std::get_if<SyncRequest>(&effect);
+      if (request == nullptr) continue;
+      lease_until_ms = request->lease_until_ms;
+      planner.OnSync(*request,
+                     {.result = WorkerCallResult::kDone,
+                      .worker_clock_ms = kClockMs,
+                      .started_at_ms = 1},
+                     time);
+    }
+    return lease_until_ms;
+  };
+  EXPECT_EQ(sync(), std::nullopt);
+  EXPECT_EQ(sync(), kClockMs + 6500);
+  record.draining = true;
+  record.remaining = milliseconds(4500);
+  planner.OnWorker(record, time);
+  EXPECT_EQ(sync(), kClockMs + 4500);
+  record.draining = false;
+  planner.OnWorker(record, time);
+  EXPECT_EQ(sync(), kClockMs + 6500);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
