Take the answer to a stop for the worker that was asked

A run that two workers report is stopped on one of them, which the planner does not track. The answer was looked up by task and run number alone, and so was taken for that of the other worker's run: - "stopped" marked that run as stopped. If its start was still on the way, the next sync showed it absent, and the task was started again while the start could still arrive: two runs at a time. - "another incarnation" dropped all runs of the other worker, which went on, and started their tasks again.

Callers would have seen a task run twice; no record of it is known.

OnStop now takes the request that is answered, and ignores an answer of a worker that does not have the run.

--- a/fakes/load_replay.cpp
+++ b/fakes/load_replay.cpp
@@ -293,8 +293,7 @@
     this->EndRun(this->FindWorker(request.worker), request.task, request.run,
                  pool::RunEnd::kStopped);
     this->Tell(this->now + kWorkerLatency, [this, request] {
-      this->planner.OnStop(request.task, request.run,
-                           {.result = pool::WorkerCallResult::kDone},
+      this->planner.OnStop(request, {.result = pool::WorkerCallResult::kDone},
                            this->Time());
     });
   });
--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -342,10 +342,10 @@
 
 void PoolCell::ExecuteStop(PlannerProcess& planner,
                            const pool::StopRequest& request) {
-  const auto deliver = [this, &planner, task = request.task,
-                        run = request.run](const pool::StartStopReply& reply) {
+  const auto deliver = [this, &planner,
+                        request](const pool::StartStopReply& reply) {
     if (!planner.alive) return;
-    planner.planner->OnStop(task, run, reply, this->GetPlannerTime());
+    planner.planner->OnStop(request, reply, this->GetPlannerTime());
   };
   this->Schedule(kOneWayLatency, [this, request, deliver] {
     if (PoolWorker* worker = this->FindReachableWorker(request.worker)) {
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -184,14 +184,15 @@
   }
 }
 
-void PoolPlanner::OnStop(const TaskName& task, RunNumber number,
+void PoolPlanner::OnStop(const StopRequest& request,
                          const StartStopReply& reply, const PlannerTime& time) {
   if (reply.result == WorkerCallResult::kFenced) {
     this->EndLeadership("a worker has seen a higher fence");
     return;
   }
-  RunState* run = this->FindRun(task, number);
-  if (run == nullptr) return;
+  RunState* run = this->FindRun(request.task, request.run);
+  // The stop of a duplicate says nothing about the run on the other worker.
+  if (run == nullptr || run->worker->record.worker != request.worker) return;
   run->stop_in_flight = false;
   switch (reply.result) {
     case WorkerCallResult::kDone:
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -152,8 +152,9 @@
   /** Handles the answer to a StartRequest for a run of a task. */
   void OnStart(const TaskName& task, RunNumber run, const StartStopReply& reply,
                const PlannerTime& time);
-  /** Handles the answer to a StopRequest for a run of a task. */
-  void OnStop(const TaskName& task, RunNumber run, const StartStopReply& reply,
+  /** Handles the answer to a StopRequest.
+   * \param request the request that is answered. */
+  void OnStop(const StopRequest& request, const StartStopReply& reply,
               const PlannerTime& time);
   /** Handles the answer to a SyncRequest: the worker's lists of runs and ends.
    * \param request the request that is answered. */
