Acknowledge ends that change nothing without a commit

Ends were acknowledged only when a commit finished. A worker that lists ends of which nothing is left to store - of jobs that are final, or stored by an earlier planner - kept them until the next commit for some other reason. A list that is full of such ends would never move on.

The planner now acknowledges them with the next sync.

--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -259,6 +259,12 @@
     if (report.sequence_number > worker.last_handled_end)
       this->HandleEnd(worker, report, time);
   }
+  if (!worker.unstored_ends.empty()) {
+    // Ends that change nothing need no commit before they are acknowledged.
+    this->AcknowledgeStoredEnds(worker, time);
+    if (worker.unstored_ends.empty())
+      std::erase(this->workers_with_unstored_ends, &worker);
+  }
   this->HandleReportedRuns(worker, reply, time);
   this->HandleMissingRuns(worker, request.sent_at, reply, time);
   this->unsynced_workers.erase(request.worker);
