Draw no conclusion about absent runs from a truncated list

A worker lists at most 500 ends in one answer; the next ones follow when these are acknowledged. The planner took a run in neither list for vanished. With more than 500 ends that are not acknowledged, as while the store is down, a run whose end stands in the rest was started again although it had succeeded. After a takeover the new planner took the first part for the whole list too, and started tasks of earlier terms whose ends it had not read.

From such a list the planner reads the ends and the runs, but it takes no run for absent, and the worker counts as not synced for jobs of earlier terms. It waits for the rest also beyond the time at which leases of earlier terms have expired, as long as the worker answers. The list moves on with the acknowledgements; a list of exactly 500 ends costs one more sync. The stand-in worker lists at most 500 ends, too.

--- a/fakes/pool_worker.cpp
+++ b/fakes/pool_worker.cpp
@@ -13,6 +13,9 @@
 /** Time from a stop request to the end of the run. */
 constexpr base::Duration kStopDuration = std::chrono::milliseconds(300);
 
+/** Maximum number of ends in one answer. */
+constexpr size_t kMaxListedEnds = 500;
+
 }  // namespace
 
 int64_t PoolWorker::ClockMs(base::Instant now) const {
@@ -96,8 +99,11 @@
                              .run = run.number,
                              .percent = ProgressPercent(run, now)});
   }
-  for (const UnacknowledgedEnd& listed : this->unacknowledged_ends)
+  for (const UnacknowledgedEnd& listed : this->unacknowledged_ends) {
+    if (reply.ended.size() == kMaxListedEnds) break;
     reply.ended.push_back(listed.report);
+  }
+  reply.ends_truncated = reply.ended.size() == kMaxListedEnds;
   return reply;
 }
 
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -130,7 +130,11 @@
   int64_t worker_clock_ms = 0;
   int64_t started_at_ms = 0;
   std::vector<ReportedRun> running;
+  /** Ends that are not acknowledged, in the order of their numbers. */
   std::vector<ReportedEnd> ended;
+  /** Whether the worker may have more ends than it listed: a run that is in
+   * neither list may have ended. */
+  bool ends_truncated = false;
 };
 
 /** A ticket that lets the tasks of a step start on a worker. */
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -266,8 +266,11 @@
       std::erase(this->workers_with_unstored_ends, &worker);
   }
   this->HandleReportedRuns(worker, reply, time);
-  this->HandleMissingRuns(worker, request.sent_at, reply, time);
-  this->unsynced_workers.erase(request.worker);
+  worker.ends_truncated = reply.ends_truncated;
+  if (!worker.ends_truncated) {
+    this->HandleMissingRuns(worker, request.sent_at, reply, time);
+    this->unsynced_workers.erase(request.worker);
+  }
   worker.next_sync = worker.unstored_ends.empty()
                          ? time.now
                          : time.now + this->options.sync_retry_delay;
@@ -391,6 +394,7 @@
   worker.synced = false;
   worker.last_stored_end = 0;
   worker.last_handled_end = 0;
+  worker.ends_truncated = false;
   worker.unstored_ends.clear();
   worker.clock_ms.reset();
   worker.started_at_ms = 0;
@@ -469,8 +473,18 @@
 }
 
 bool PoolPlanner::CanStartInheritedJobs(base::Instant now) const {
-  if (now >= this->inherited_runs_expire_at) return true;
-  return this->unsynced_workers.empty();
+  if (this->unsynced_workers.empty()) return true;
+  if (now < this->inherited_runs_expire_at) return false;
+  // A worker that answers may list the ends of these runs only later.
+  return std::none_of(this->unsynced_workers.begin(),
+                      this->unsynced_workers.end(),
+                      [&](const base::WorkerId& id) {
+                        const auto worker = this->workers.find(id);
+                        return worker != this->workers.end() &&
+                               worker->second->ends_truncated &&
+                               now < worker->second->last_answer_at +
+                                         this->options.worker_lease;
+                      });
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -244,6 +244,8 @@
    * end handled. */
   uint64_t last_stored_end = 0;
   uint64_t last_handled_end = 0;
+  /** Whether it may have more ends than its last list of them showed. */
+  bool ends_truncated = false;
   std::deque<UnstoredEnd> unstored_ends;
   /** The worker's clock in milliseconds, as it was at `clock_read_at`. */
   std::optional<int64_t> clock_ms;
