Use a former incarnation's late answers only for ends

A worker may start again under its id; its ends are numbered anew and its clock starts anew. When the store's entry showed that, the planner forgot the former incarnation, but the late answer to a call that was in flight brought it back: - A sync's answer set the counts again. The next sync then carried the former acknowledgement to the new incarnation, which forgot ends that the planner had not read; their runs counted as vanished and were started again. Also with two syncs in flight, if the answer of the former incarnation came last. - The answer to a sync or a start set the clock, so that the new incarnation got a lease that ends, by its own clock, long after the planner counts its runs as ended. - "Another incarnation" ended the new one, whose runs were dropped while they went on, if a worker starts again at another address.

The planner now keeps when it learned of the change. An answer to a request sent until then that carries another start time counts only for the ends in it: an end that it reports is proven. The next sync decides.

--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -88,6 +88,17 @@
 void PoolPlanner::HandleEnd(WorkerState& worker, const ReportedEnd& report,
                             const PlannerTime& time) {
   worker.last_handled_end = report.sequence_number;
+  const uint64_t changes = this->ApplyEnd(worker, report, time);
+  if (worker.unstored_ends.empty()) {
+    this->workers_with_unstored_ends.push_back(&worker);
+  }
+  worker.unstored_ends.push_back({.sequence_number = report.sequence_number,
+                                  .job = report.task.job,
+                                  .changes = changes});
+}
+
+uint64_t PoolPlanner::ApplyEnd(WorkerState& worker, const ReportedEnd& report,
+                               const PlannerTime& time) {
   ++this->totals.ends;
   RunState* run = this->FindRun(report.task, report.run);
   if (run != nullptr && run->worker == &worker) {
@@ -99,31 +110,24 @@
     this->ReleaseRun(*run);
   }
   StepState* step = this->FindStep(report.task);
-  UnstoredEnd unstored_end{.sequence_number = report.sequence_number,
-                           .job = report.task.job};
-  if (step != nullptr) {
-    JobState& job = *step->job;
-    TaskState& task = step->tasks[report.task.index];
-    task.last_run = std::max(task.last_run, report.run);
-    task.ended_run = std::max(task.ended_run, report.run);
-    if (job.IsOpen() && !task.succeeded) {
-      if (!report.checkpoint.empty()) task.checkpoint = report.checkpoint;
-      this->MarkChanged(job);
-      if (report.end == RunEnd::kSucceeded) {
-        worker.consecutive_failures = 0;
-        this->HandleSuccess(*step, report.task.index, time);
-      } else if (report.end == RunEnd::kFailed) {
-        this->HandleFailure(worker, *step, report, time);
-      } else if (step->definition->gang) {
-        this->StopGangMembers(*step, report.run, time.now);
-      }
+  if (step == nullptr) return 0;
+  JobState& job = *step->job;
+  TaskState& task = step->tasks[report.task.index];
+  task.last_run = std::max(task.last_run, report.run);
+  task.ended_run = std::max(task.ended_run, report.run);
+  if (job.IsOpen() && !task.succeeded) {
+    if (!report.checkpoint.empty()) task.checkpoint = report.checkpoint;
+    this->MarkChanged(job);
+    if (report.end == RunEnd::kSucceeded) {
+      worker.consecutive_failures = 0;
+      this->HandleSuccess(*step, report.task.index, time);
+    } else if (report.end == RunEnd::kFailed) {
+      this->HandleFailure(worker, *step, report, time);
+    } else if (step->definition->gang) {
+      this->StopGangMembers(*step, report.run, time.now);
     }
-    unstored_end.changes = job.changes;
-  }
-  if (worker.unstored_ends.empty()) {
-    this->workers_with_unstored_ends.push_back(&worker);
   }
-  worker.unstored_ends.push_back(std::move(unstored_end));
+  return job.changes;
 }
 
 void PoolPlanner::HandleSuccess(StepState& step, uint32_t index,
@@ -223,7 +227,9 @@
   RunState* run = this->FindRun(task, number);
   if (run == nullptr) return;
   WorkerState& worker = *run->worker;
-  if (reply.worker_clock_ms) {
+  const bool may_be_former =
+      worker.MayConcernFormerIncarnation(run->start_requested_at);
+  if (reply.worker_clock_ms && !may_be_former) {
     this->RecordAnswer(worker, *reply.worker_clock_ms, time.now);
   }
   if (reply.result == WorkerCallResult::kDone) {
@@ -260,6 +266,7 @@
       }
       break;
     case WorkerCallResult::kOtherIncarnation:
+      if (may_be_former) break;
       this->EndIncarnation(worker, time);
       return;
     case WorkerCallResult::kNotSent:
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -215,7 +215,8 @@
                                    const SyncRequest& request,
                                    WorkerCallResult result,
                                    const PlannerTime& time) {
-  if (result == WorkerCallResult::kOtherIncarnation) {
+  if (result == WorkerCallResult::kOtherIncarnation &&
+      !worker.MayConcernFormerIncarnation(request.sent_at)) {
     this->EndIncarnation(worker, time);
   } else {
     this->RecordUnansweredCall(worker, time);
@@ -244,11 +245,14 @@
     this->HandleFailedSync(worker, request, reply.result, time);
     return;
   }
-  if (worker.started_at_ms != 0 &&
-      reply.started_at_ms != worker.started_at_ms) {
-    this->ForgetIncarnation(worker, time);
+  if (reply.started_at_ms != worker.started_at_ms) {
+    if (worker.MayConcernFormerIncarnation(request.sent_at)) {
+      this->HandleFormerIncarnation(worker, reply, time);
+      return;
+    }
+    if (worker.started_at_ms != 0) this->ForgetIncarnation(worker, time);
+    worker.started_at_ms = reply.started_at_ms;
   }
-  worker.started_at_ms = reply.started_at_ms;
   this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
   if (!std::exchange(worker.synced, true)) {
     this->log.Add(time.now, "worker synced", "worker={} running={} ended={}",
@@ -277,6 +281,20 @@
   this->scheduling_needed = true;
 }
 
+void PoolPlanner::HandleFormerIncarnation(WorkerState& worker,
+                                          const SyncReply& reply,
+                                          const PlannerTime& time) {
+  this->log.Add(time.now, "late answer of another worker incarnation",
+                "worker={} started_at_ms={} ended={}",
+                worker.record.worker.value, reply.started_at_ms,
+                reply.ended.size());
+  for (const ReportedEnd& report : reply.ended) {
+    this->ApplyEnd(worker, report, time);
+  }
+  worker.next_sync = time.now;
+  this->scheduling_needed = true;
+}
+
 void PoolPlanner::HandleReportedRuns(WorkerState& worker,
                                      const SyncReply& reply,
                                      const PlannerTime& time) {
@@ -392,6 +410,7 @@
   this->log.Add(time.now, "worker incarnation changed", "worker={} runs={}",
                 worker.record.worker.value, worker.runs.size());
   worker.synced = false;
+  worker.incarnation_changed_at = time.now;
   worker.last_stored_end = 0;
   worker.last_handled_end = 0;
   worker.ends_truncated = false;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -302,6 +302,10 @@
    * start again. */
   void DropLostRuns(WorkerState& worker, std::string_view reason,
                     const PlannerTime& time);
+  /** Handles an answer that may come from an earlier incarnation of the worker:
+   * the ends in it count, its numbers and its clock do not. */
+  void HandleFormerIncarnation(WorkerState& worker, const SyncReply& reply,
+                               const PlannerTime& time);
   void HandleReportedRuns(WorkerState& worker, const SyncReply& reply,
                           const PlannerTime& time);
   void HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
@@ -337,8 +341,15 @@
   void ReleaseRun(RunState& run);
   void RequestStop(RunState& run, base::Instant at);
   void StopGangMembers(StepState& step, RunNumber run, base::Instant now);
+  /** Handles an end of the worker's current incarnation, which is acknowledged
+   * once its effect is stored. */
   void HandleEnd(WorkerState& worker, const ReportedEnd& report,
                  const PlannerTime& time);
+  /** Applies an end to its run and its job.
+   * \return the number of the job's changes that must be stored before the
+   * worker may forget the end; 0 for an unknown job. */
+  uint64_t ApplyEnd(WorkerState& worker, const ReportedEnd& report,
+                    const PlannerTime& time);
   void HandleSuccess(StepState& step, uint32_t index, const PlannerTime& time);
   void HandleFailure(WorkerState& worker, StepState& step,
                      const ReportedEnd& report, const PlannerTime& time);
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -232,6 +232,10 @@
   int64_t started_at_ms = 0;
   /** Whether its current incarnation has been synced in this term. */
   bool synced = false;
+  /** When its current incarnation became known, if it is not the first one that
+   * this planner knows. Requests sent until then may be answered by an earlier
+   * one. */
+  std::optional<base::Instant> incarnation_changed_at;
   bool sync_in_flight = false;
   /** Whether the planner's queue of syncs to send has it. */
   bool in_sync_queue = false;
@@ -264,6 +268,12 @@
   /** Resources in ticket reservations; gang reservations are not included. */
   platform::Resources reserved_for_tickets;
 
+  /** Whether an earlier incarnation may answer a request sent at this time. */
+  bool MayConcernFormerIncarnation(base::Instant sent_at) const {
+    return this->incarnation_changed_at &&
+           sent_at <= *this->incarnation_changed_at;
+  }
+
   platform::Resources FreeResources() const {
     return this->record.total - this->used - this->reserved_for_tickets;
   }
