Stop a run again on the next incarnation of its worker

A start without an answer is followed by a stop, after which the worker rejects the start if it arrives later. That holds only for the incarnation that confirmed the stop: the next one under the same id has seen none, and carries the start out. The planner took the stop for valid, saw the run absent in the next sync and started the task again, so that two runs could go on at the same time.

When an incarnation ends, a stop that was confirmed for a start without an answer is now sent again, and one that is in flight is not taken for confirmed.

FreesTheTask passed before and guards that a run does end with a stop that was confirmed.

Not covered: a run that was released already when the worker starts again.

--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -194,6 +194,10 @@
   // The stop of a duplicate says nothing about the run on the other worker.
   if (run == nullptr || run->worker->record.worker != request.worker) return;
   run->stop_in_flight = false;
+  if (std::exchange(run->stop_outdated, false)) {
+    run->next_stop = time.now;
+    return;
+  }
   switch (reply.result) {
     case WorkerCallResult::kDone:
     case WorkerCallResult::kStaleRun:
@@ -418,6 +422,14 @@
   worker.clock_ms.reset();
   worker.started_at_ms = 0;
   worker.next_sync = time.now;
+  for (RunState* run : worker.runs) {
+    // The new incarnation may still get the start, and has seen no stop.
+    if (run->stop_in_flight) run->stop_outdated = true;
+    if (run->stop_confirmed_at && run->start_confirmed_at == base::Instant()) {
+      run->stop_confirmed_at.reset();
+      run->next_stop = time.now;
+    }
+  }
 }
 
 void PoolPlanner::EndIncarnation(WorkerState& worker, const PlannerTime& time) {
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -64,6 +64,9 @@
   bool stop_in_flight = false;
   base::Instant next_stop;
   std::optional<base::Instant> stop_confirmed_at;
+  /** Whether an earlier incarnation of the worker may answer the stop request
+   * in flight. */
+  bool stop_outdated = false;
   /** When the worker last confirmed the start, by its answer or in a sync. */
   base::Instant start_confirmed_at;
   ProgressPoint last_progress;
