Send each acknowledgement only until it is answered

A sync that a restart of the worker cuts off may be carried out seconds later, by the next incarnation under the same id, which then forgets ends up to the former acknowledgement. If the planner has not read them, it takes their runs for vanished and starts the tasks again. Every sync carried the acknowledgement, so any long poll that was cut off was such a risk, also that of an idle worker.

An acknowledgement that was answered is not repeated: the worker has forgotten these ends. That leaves the syncs that carry a new one.

--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -138,9 +138,12 @@
                       .fence = this->options.fence,
                       .sent_at = time.now};
   // After an unanswered call another incarnation may answer, whose ends have
-  // not been read.
-  if (worker.unanswered_calls == 0)
+  // not been read. An acknowledgement that was answered is not repeated, as a
+  // sync that a restart cuts off may be carried out by the next incarnation.
+  if (worker.unanswered_calls == 0 &&
+      worker.last_stored_end > worker.last_acknowledged_end) {
     request.acknowledged_up_to = worker.last_stored_end;
+  }
   // The lease of a worker that does not answer is not renewed, so that it
   // expires and its runs provably end.
   if (worker.unanswered_calls == 0) {
@@ -249,13 +252,18 @@
     this->HandleFailedSync(worker, request, reply.result, time);
     return;
   }
+  const bool may_be_former =
+      worker.MayConcernFormerIncarnation(request.sent_at);
   if (reply.started_at_ms != worker.started_at_ms) {
-    if (worker.MayConcernFormerIncarnation(request.sent_at)) {
+    if (may_be_former) {
       this->HandleFormerIncarnation(worker, reply, time);
       return;
     }
     if (worker.started_at_ms != 0) this->ForgetIncarnation(worker, time);
     worker.started_at_ms = reply.started_at_ms;
+  } else if (!may_be_former) {
+    worker.last_acknowledged_end =
+        std::max(worker.last_acknowledged_end, request.acknowledged_up_to);
   }
   this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
   if (!std::exchange(worker.synced, true)) {
@@ -417,6 +425,7 @@
   worker.incarnation_changed_at = time.now;
   worker.last_stored_end = 0;
   worker.last_handled_end = 0;
+  worker.last_acknowledged_end = 0;
   worker.ends_truncated = false;
   worker.unstored_ends.clear();
   worker.clock_ms.reset();
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -251,6 +251,8 @@
    * end handled. */
   uint64_t last_stored_end = 0;
   uint64_t last_handled_end = 0;
+  /** Sequence number up to which it has confirmed to forget its ends. */
+  uint64_t last_acknowledged_end = 0;
   /** Whether it may have more ends than its last list of them showed. */
   bool ends_truncated = false;
   std::deque<UnstoredEnd> unstored_ends;
--- a/src/agatepass/pool/tests/acknowledgement_test.cpp
+++ b/src/agatepass/pool/tests/acknowledgement_test.cpp
@@ -1,4 +1,7 @@
-// Acknowledgements of ends.
+// Acknowledgements of ends. A sync that got no answer may be carried out
+// seconds later by the next incarnation of the worker, which then forgets ends
+// that the planner has not read. So an acknowledgement is sent only while it is
+// needed.
 #include "agatepass/pool/tests/planner_fixture.h"
 
 namespace agatepass::pool {
@@ -6,7 +9,40 @@
 
 using std::chrono::milliseconds;
 
-class Acknowledgement : public PlannerFixture {};
+class Acknowledgement : public PlannerFixture {
+ protected:
+  /** Runs the task of job "a" on w0 to its end, whose effect is stored. */
+  void EndOnW0() {
+    this->Load();
+    this->StartOnW0(1);
+    this->AnswerSync(this->TakeSync("w0"), 1, {},
+                     {{1, this->task, 1, RunEnd::kSucceeded, ""}});
+    this->RunFor(milliseconds(200));
+  }
+};
+
+TEST_F(Acknowledgement, IsNotRepeatedOnceItWasAnswered) {
+  this->EndOnW0();
+  const SyncRequest first = this->TakeSync("w0");
+  EXPECT_EQ(first.acknowledged_up_to, 1U);
+  this->AnswerSync(first, 1);
+  this->RunFor(milliseconds(200));
+  EXPECT_EQ(this->TakeSync("w0").acknowledged_up_to, 0U);
+}
+
+TEST_F(Acknowledgement, IsRepeatedOnlyOnceTheIncarnationIsKnownAgain) {
+  this->EndOnW0();
+  const SyncRequest first = this->TakeSync("w0");
+  EXPECT_EQ(first.acknowledged_up_to, 1U);
+  this->planner.OnSync(first, {}, this->time);
+  this->RunFor(milliseconds(600));
+  // Another incarnation may answer.
+  const SyncRequest second = this->TakeSync("w0");
+  EXPECT_EQ(second.acknowledged_up_to, 0U);
+  this->AnswerSync(second, 1, {}, {{1, this->task, 1, RunEnd::kSucceeded, ""}});
+  this->RunFor(milliseconds(200));
+  EXPECT_EQ(this->TakeSync("w0").acknowledged_up_to, 1U);
+}
 
 TEST_F(Acknowledgement, NeedsNoCommitForEndsThatChangeNothing) {
   // After a takeover a worker may list many ends whose effect an earlier
