--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -132,9 +132,12 @@
                       .fence = this->options.fence,
                       .sent_at = time.now};
   // After an unanswered call another incarnation may answer, whose ends have
-  // not been read.
-  if (worker.unanswered_calls == 0)
+  // not been read. An acknowledgement that was answered is not repeated, as a
+  // sync that a restart cuts off may be carried out by the next incarnation.
+  if (worker.unanswered_calls == 0 &&
+      worker.last_stored_end > worker.last_acknowledged_end) {
     request.acknowledged_up_to = worker.last_stored_end;
+  }
   // The lease of a worker that does not answer is not renewed, so that it
   // expires and its runs provably end.
   if (worker.unanswered_calls == 0) {
@@ -176,15 +179,20 @@
   }
 }
 
-void PoolPlanner::OnStop(const TaskName& task, RunNumber number,
+void PoolPlanner::OnStop(const StopRequest& request,
                          const StartStopReply& reply, const PlannerTime& time) {
   if (reply.result == WorkerCallResult::kFenced) {
     this->EndLeadership("a worker has seen a higher fence");
     return;
   }
-  RunState* run = this->FindRun(task, number);
-  if (run == nullptr) return;
+  RunState* run = this->FindRun(request.task, request.run);
+  // The stop of a duplicate says nothing about the run on the other worker.
+  if (run == nullptr || run->worker->record.worker != request.worker) return;
   run->stop_in_flight = false;
+  if (std::exchange(run->stop_outdated, false)) {
+    run->next_stop = time.now;
+    return;
+  }
   switch (reply.result) {
     case WorkerCallResult::kDone:
     case WorkerCallResult::kStaleRun:
@@ -204,7 +212,8 @@
 
 void PoolPlanner::HandleFailedSync(WorkerState& worker, WorkerCallResult result,
                                    const PlannerTime& time) {
-  if (result == WorkerCallResult::kOtherIncarnation) {
+  if (result == WorkerCallResult::kOtherIncarnation &&
+      !worker.MayConcernFormerIncarnation(request.sent_at)) {
     this->EndIncarnation(worker, time);
   } else {
     this->RecordUnansweredCall(worker, time);
@@ -229,11 +238,19 @@
     this->HandleFailedSync(worker, reply.result, time);
     return;
   }
-  if (worker.started_at_ms != 0 &&
-      reply.started_at_ms != worker.started_at_ms) {
-    this->ForgetIncarnation(worker, time);
+  const bool may_be_former =
+      worker.MayConcernFormerIncarnation(request.sent_at);
+  if (reply.started_at_ms != worker.started_at_ms) {
+    if (may_be_former) {
+      this->HandleFormerIncarnation(worker, reply, time);
+      return;
+    }
+    if (worker.started_at_ms != 0) this->ForgetIncarnation(worker, time);
+    worker.started_at_ms = reply.started_at_ms;
+  } else if (!may_be_former) {
+    worker.last_acknowledged_end =
+        std::max(worker.last_acknowledged_end, request.acknowledged_up_to);
   }
-  worker.started_at_ms = reply.started_at_ms;
   this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
   if (!std::exchange(worker.synced, true)) {
     // The fence of this sync ends renewals by earlier planners.
@@ -248,9 +265,18 @@
     if (report.sequence_number > worker.last_handled_end)
       this->HandleEnd(worker, report, time);
   }
+  if (!worker.unstored_ends.empty()) {
+    // Ends that change nothing need no commit before they are acknowledged.
+    this->AcknowledgeStoredEnds(worker, time);
+    if (worker.unstored_ends.empty())
+      std::erase(this->workers_with_unstored_ends, &worker);
+  }
   this->HandleReportedRuns(worker, reply, time);
-  this->HandleMissingRuns(worker, request.sent_at, reply, time);
-  this->unsynced_workers.erase(request.worker);
+  worker.ends_truncated = reply.ends_truncated;
+  if (!worker.ends_truncated) {
+    this->HandleMissingRuns(worker, request.sent_at, reply, time);
+    this->unsynced_workers.erase(request.worker);
+  }
   worker.next_sync = time.now;
   if (!worker.unstored_ends.empty()) {
     worker.next_sync += this->IsAboutToShutDown(worker, time.now)
@@ -260,6 +286,20 @@
   this->scheduling_needed = true;
 }
 
+void PoolPlanner::HandleFormerIncarnation(WorkerState& worker,
+                                          const SyncReply& reply,
+                                          const PlannerTime& time) {
+  this->log.Add(time.now, "late answer of another worker incarnation",
+                "worker={} started_at_ms={} ended={}",
+                worker.record.worker.value, reply.started_at_ms,
+                reply.ended.size());
+  for (const ReportedEnd& report : reply.ended) {
+    this->ApplyEnd(worker, report, time);
+  }
+  worker.next_sync = time.now;
+  this->scheduling_needed = true;
+}
+
 void PoolPlanner::HandleReportedRuns(WorkerState& worker,
                                      const SyncReply& reply,
                                      const PlannerTime& time) {
@@ -375,12 +415,23 @@
   this->log.Add(time.now, "worker incarnation changed", "worker={} runs={}",
                 worker.record.worker.value, worker.runs.size());
   worker.synced = false;
+  worker.incarnation_changed_at = time.now;
   worker.last_stored_end = 0;
   worker.last_handled_end = 0;
+  worker.last_acknowledged_end = 0;
+  worker.ends_truncated = false;
   worker.unstored_ends.clear();
   worker.clock_ms.reset();
   worker.started_at_ms = 0;
   worker.next_sync = time.now;
+  for (RunState* run : worker.runs) {
+    // The new incarnation may still get the start, and has seen no stop.
+    if (run->stop_in_flight) run->stop_outdated = true;
+    if (run->stop_confirmed_at && run->start_confirmed_at == base::Instant()) {
+      run->stop_confirmed_at.reset();
+      run->next_stop = time.now;
+    }
+  }
 }
 
 void PoolPlanner::EndIncarnation(WorkerState& worker, const PlannerTime& time) {
@@ -470,8 +521,18 @@
 }
 
 bool PoolPlanner::CanStartInheritedJobs(base::Instant now) const {
-  if (now >= this->inherited_runs_expire_at) return true;
-  return this->unsynced_workers.empty();
+  if (this->unsynced_workers.empty()) return true;
+  if (now < this->inherited_runs_expire_at) return false;
+  // A worker that answers may list the ends of these runs only later.
+  return std::none_of(this->unsynced_workers.begin(),
+                      this->unsynced_workers.end(),
+                      [&](const base::WorkerId& id) {
+                        const auto worker = this->workers.find(id);
+                        return worker != this->workers.end() &&
+                               worker->second->ends_truncated &&
+                               now < worker->second->last_answer_at +
+                                         this->options.worker_lease;
+                      });
 }
 
 }  // namespace agatepass::pool
