Renew leases only while no other planner can have begun its term

What callers would see: a task runs twice at the same time (TWICE). A planner is cut off from the store and the other hosts, but still reaches a worker that the next planner does not reach. It renewed that worker's lease and started tasks there for as long as the split lasted, while the next planner took the worker's runs for ended 8.6 s after its election.

Cause: kSupersededPlannerGrace (2 s) says how long a superseded planner goes on, and nothing enforced it. Three things ended such a term: a worker that the next planner had fenced, a refused commit or renewal, and the watch of the planner's key. None of them reaches a planner in such a split; hellos did not help, as the planner sends none.

Evidence: fakes/pool_cell cuts off single planners now.

Change: LeadershipEvidence (no clock) knows a moment at which no other planner's term had begun: when a commit or a read of the key was sent that the store answered, or, while the store is silent, when all other hosts were asked that answered without a newer planner. If it is 1.9 s ago, the planner renews no lease and starts nothing until there is a newer one. The time is when the call was sent; the planner compares ages itself, so that one that was frozen stops before it acts. The planner asks all hosts each 500 ms from 1 s of silence of the store on; an answer with a newer planner ends the term, as the reply always could.

Runs: an outage of the store for all hosts costs none while the hosts answer (test: 18 s); a split of 5 s costs none either, as all workers get a lease at once after it. An outage together with a host that died in the 30 s before lets runs lapse after about 7 s.

Ruled out: a majority of hosts as the condition (the host that reaches the store may be in the minority); the lease of the key alone (a key is replaced before its lease has lapsed); answered renewals (they succeed after the key was replaced); the watch (its answer proves only the time at which it was sent, 1.2 s before).

The planner does not note hosts that it learns of by these replies: one that is gone would be named for ever, and become a standby.

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -108,7 +108,8 @@
 }
 
 void PoolCell::StartPlanner() {
-  auto planner = std::make_unique<PlannerProcess>();
+  auto planner = std::make_unique<PlannerProcess>(
+      PlannerProcess{.evidence = pool::LeadershipEvidence(this->current_time)});
   planner->fence = ++this->last_fence;
   this->leader_fence = planner->fence;
   planner->planner = std::make_unique<pool::PoolPlanner>(
@@ -250,6 +251,7 @@
 
 void PoolCell::AdvancePlanner(PlannerProcess& planner) {
   if (!planner.alive || !planner.believes_it_leads) return;
+  this->ConfirmLeadership(planner);
   for (const pool::Effect& effect :
        planner.planner->Advance(this->GetPlannerTime())) {
     this->Execute(planner, effect);
@@ -297,15 +299,6 @@
   }
 }
 
-PoolWorker* PoolCell::FindReachableWorker(const base::WorkerId& id) {
-  if (this->faults.unreachable_workers.contains(id)) return nullptr;
-  if (this->restarting_workers.contains(id)) return nullptr;
-  for (const auto& worker : this->workers) {
-    if (worker->record.worker == id) return worker.get();
-  }
-  return nullptr;
-}
-
 void PoolCell::ExecuteStart(PlannerProcess& planner,
                             const pool::StartRequest& request) {
   const auto deliver = [this, &planner, task = request.task,
@@ -316,11 +309,12 @@
   if (this->DrawTrue(this->faults.late_start_share)) {
     const auto delay = std::chrono::milliseconds(
         std::uniform_int_distribution<int>(2000, 12000)(this->random));
-    const PoolWorker* target = this->FindReachableWorker(request.worker);
+    const PoolWorker* target =
+        this->FindReachableWorker(planner, request.worker);
     const int64_t started_at_ms =
         target == nullptr ? 0 : target->record.started_at_ms;
-    this->Schedule(delay, [this, request, started_at_ms] {
-      PoolWorker* worker = this->FindReachableWorker(request.worker);
+    this->Schedule(delay, [this, &planner, request, started_at_ms] {
+      PoolWorker* worker = this->FindReachableWorker(planner, request.worker);
       // A late request to an earlier incarnation of the worker has no effect.
       if (worker != nullptr && worker->record.started_at_ms == started_at_ms) {
         worker->Start(request, this->current_time);
@@ -329,8 +323,9 @@
     this->Schedule(kRequestTimeout, [deliver] { deliver({}); });
     return;
   }
-  this->Schedule(kOneWayLatency, [this, request, deliver] {
-    if (PoolWorker* worker = this->FindReachableWorker(request.worker)) {
+  this->Schedule(kOneWayLatency, [this, &planner, request, deliver] {
+    if (PoolWorker* worker =
+            this->FindReachableWorker(planner, request.worker)) {
       const pool::StartStopReply reply =
           worker->Start(request, this->current_time);
       this->Schedule(kOneWayLatency, [deliver, reply] { deliver(reply); });
@@ -347,8 +342,9 @@
     if (!planner.alive) return;
     planner.planner->OnStop(task, run, reply, this->GetPlannerTime());
   };
-  this->Schedule(kOneWayLatency, [this, request, deliver] {
-    if (PoolWorker* worker = this->FindReachableWorker(request.worker)) {
+  this->Schedule(kOneWayLatency, [this, &planner, request, deliver] {
+    if (PoolWorker* worker =
+            this->FindReachableWorker(planner, request.worker)) {
       const pool::StartStopReply reply =
           worker->Stop(request, this->current_time);
       this->Schedule(kOneWayLatency, [deliver, reply] { deliver(reply); });
@@ -369,7 +365,8 @@
 void PoolCell::AnswerDueSyncs() {
   std::vector<OpenSync> pending = std::exchange(this->open_syncs, {});
   for (const OpenSync& sync : pending) {
-    PoolWorker* worker = this->FindReachableWorker(sync.request.worker);
+    PoolWorker* worker =
+        this->FindReachableWorker(*sync.planner, sync.request.worker);
     if (worker == nullptr || worker->HasUnacknowledgedEnds() ||
         this->current_time >= sync.answer_by) {
       this->AnswerSync(sync);
@@ -386,7 +383,8 @@
     if (!planner.alive) return;
     planner.planner->OnSync(request, reply, this->GetPlannerTime());
   };
-  if (PoolWorker* worker = this->FindReachableWorker(sync.request.worker)) {
+  if (PoolWorker* worker =
+          this->FindReachableWorker(planner, sync.request.worker)) {
     const pool::SyncReply reply =
         worker->Sync(sync.request, this->current_time);
     this->Schedule(kOneWayLatency, [deliver, reply] { deliver(reply); });
@@ -438,7 +436,7 @@
     });
     return;
   }
-  if (this->faults.commits_unanswered) {
+  if (this->faults.commits_unanswered || this->FindCutOff(planner).store) {
     this->Schedule(kCommitTimeout, [deliver] {
       deliver({.outcome = platform::Outcome::kUnknown});
     });
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -14,12 +14,23 @@
 #include <string>
 #include <vector>
 
+#include "agatepass/pool/leadership_evidence.h"
 #include "agatepass/pool/pool_planner.h"
 #include "agatepass/timeline/decision_log.h"
 #include "fakes/pool_worker.h"
 
 namespace agatepass::fakes {
 
+/** What one planner process is cut off from. */
+struct PlannerCutOff {
+  /** Whether its calls to the store are neither carried out nor answered. */
+  bool store = false;
+  /** Whether the other hosts neither call it nor answer it. */
+  bool hosts = false;
+  /** Workers that only this planner cannot reach. */
+  std::set<base::WorkerId> workers;
+};
+
 /** The faults that are currently injected. */
 struct PoolFaults {
   /** Share of the start requests that get no answer and are executed late. */
@@ -32,6 +43,9 @@
   bool commits_unanswered = false;
   /** Workers that no planner can reach. */
   std::set<base::WorkerId> unreachable_workers;
+  /** Planner processes that are partly cut off, by their fence: the first
+   * planner of the pool has fence 1, each later one the next higher. */
+  std::map<pool::Fence, PlannerCutOff> planner_cut_offs;
   /** Share of the tasks whose first run fails. */
   double first_run_failure_share = 0;
 };
@@ -105,6 +119,8 @@
   std::string TakeLog();
 
   PoolWorker& worker(size_t index) { return *this->workers[index]; }
+  /** Fence of the newest planner. */
+  pool::Fence newest_fence() const { return this->last_fence; }
   /** The newest planner; nullptr if it was killed or lost the leadership. */
   pool::PoolPlanner* planner();
   base::Instant now() const { return this->current_time; }
@@ -113,6 +129,7 @@
   /** One planner process. */
   struct PlannerProcess {
     std::unique_ptr<pool::PoolPlanner> planner;
+    pool::LeadershipEvidence evidence;
     pool::Fence fence = 0;
     bool alive = true;
     /** Whether it has not reported the loss of its leadership. A replaced
@@ -133,6 +150,10 @@
   void Schedule(base::Duration delay, std::function<void()> action);
   void StartPlanner();
   void AdvancePlanner(PlannerProcess& planner);
+  /** Reads the planner's key and asks the other hosts when due, and tells the
+   * planner what its host knows. A superseded planner is not told so: its
+   * evidence only gets no newer. */
+  void ConfirmLeadership(PlannerProcess& planner);
   void Execute(PlannerProcess& planner, const pool::Effect& effect);
   void ExecuteStart(PlannerProcess& planner, const pool::StartRequest& request);
   void ExecuteStop(PlannerProcess& planner, const pool::StopRequest& request);
@@ -140,7 +161,11 @@
   void ExecuteCommit(PlannerProcess& planner, const pool::StoreCommit& commit);
   void AnswerSync(const OpenSync& sync);
   void AnswerDueSyncs();
-  PoolWorker* FindReachableWorker(const base::WorkerId& worker);
+  /** Returns the worker, or nullptr if this planner cannot reach it. */
+  PoolWorker* FindReachableWorker(const PlannerProcess& planner,
+                                  const base::WorkerId& worker);
+  /** Returns what the planner is cut off from. */
+  PlannerCutOff FindCutOff(const PlannerProcess& planner) const;
   /** Returns true with the given probability. */
   bool DrawTrue(double probability);
   pool::CommitReply ApplyCommit(pool::Fence fence,
--- /dev/null
+++ b/fakes/pool_cell_links.cpp
@@ -0,0 +1,59 @@
+// What each planner of the simulated pool reaches: workers, the store and the
+// other hosts.
+#include "fakes/pool_cell.h"
+
+namespace agatepass::fakes {
+
+namespace {
+
+constexpr base::Duration kRoundTrip = std::chrono::milliseconds(10);
+
+/** Addresses of the hosts other than the planner's. */
+std::vector<base::Endpoint> OtherHosts() {
+  return {{"10.0.1.1", 1}, {"10.0.1.2", 1}};
+}
+
+}  // namespace
+
+PlannerCutOff PoolCell::FindCutOff(const PlannerProcess& planner) const {
+  const auto found = this->faults.planner_cut_offs.find(planner.fence);
+  return found == this->faults.planner_cut_offs.end() ? PlannerCutOff{}
+                                                      : found->second;
+}
+
+PoolWorker* PoolCell::FindReachableWorker(const PlannerProcess& planner,
+                                          const base::WorkerId& id) {
+  if (this->faults.unreachable_workers.contains(id)) return nullptr;
+  if (this->FindCutOff(planner).workers.contains(id)) return nullptr;
+  if (this->restarting_workers.contains(id)) return nullptr;
+  for (const auto& worker : this->workers) {
+    if (worker->record.worker == id) return worker.get();
+  }
+  return nullptr;
+}
+
+void PoolCell::ConfirmLeadership(PlannerProcess& planner) {
+  const base::Instant sent_at = this->current_time;
+  const PlannerCutOff cut_off = this->FindCutOff(planner);
+  const bool is_leader = planner.fence == this->leader_fence;
+  if (!cut_off.hosts) {
+    for (const base::Endpoint& host : OtherHosts()) {
+      planner.evidence.OnHostSeen(host, sent_at);
+    }
+  }
+  if (planner.evidence.ShouldReadKey(sent_at) && !cut_off.store && is_leader) {
+    this->Schedule(kRoundTrip, [&planner, sent_at] {
+      planner.evidence.OnStoreConfirmation(sent_at);
+    });
+  }
+  for (const base::Endpoint& host : planner.evidence.TakeHostsToAsk(sent_at)) {
+    if (cut_off.hosts || !is_leader) continue;
+    this->Schedule(kRoundTrip, [&planner, host, sent_at] {
+      planner.evidence.OnHostAnswer(host, sent_at);
+    });
+  }
+  planner.planner->SetLeadershipConfirmedAt(
+      planner.evidence.ConfirmedAt(this->current_time));
+}
+
+}  // namespace agatepass::fakes
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -142,8 +142,9 @@
   if (worker.unanswered_calls == 0)
     request.acknowledged_up_to = worker.last_stored_end;
   // The lease of a worker that does not answer is not renewed, so that it
-  // expires and its runs provably end.
-  if (worker.unanswered_calls == 0) {
+  // expires and its runs provably end; nor is any lease while this planner may
+  // be superseded.
+  if (worker.unanswered_calls == 0 && !this->unconfirmed_since) {
     request.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
   }
   if (long_poll) {
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "agatepass/pool/leadership_evidence.h"
+
 namespace agatepass::pool {
 
 namespace {
@@ -10,9 +12,10 @@
 /** Maximum time between two scheduling passes while work waits. */
 constexpr base::Duration kMaxSchedulingInterval = std::chrono::milliseconds(50);
 
-/** Time for which a superseded planner may keep sending requests before it
- * learns that it was superseded. */
+/** Time for which a superseded planner may keep renewing leases and starting
+ * tasks before it knows that it may be superseded. */
 constexpr base::Duration kSupersededPlannerGrace = std::chrono::seconds(2);
+static_assert(LeadershipEvidence::kMaxAge < kSupersededPlannerGrace);
 
 }  // namespace
 
@@ -72,6 +75,32 @@
       kSupersededPlannerGrace;
 }
 
+void PoolPlanner::CheckLeadership(base::Instant now) {
+  if (!this->leadership_confirmed_at) return;
+  const base::Duration age = now - *this->leadership_confirmed_at;
+  const bool is_confirmed = age < LeadershipEvidence::kMaxAge;
+  if (is_confirmed == !this->unconfirmed_since) return;
+  if (is_confirmed) {
+    this->log.Add(now, "leases renewed again", "fence={} paused_ms={}",
+                  this->options.fence,
+                  base::ToMilliseconds(now - *this->unconfirmed_since));
+    this->unconfirmed_since.reset();
+    this->scheduling_needed = true;
+    // The syncs that wait at the workers renew no lease.
+    for (const auto& [id, worker] : this->workers) {
+      if (!worker->sync_in_flight || worker->runs.empty()) continue;
+      worker->quick_sync_wanted = true;
+      this->QueueSync(*worker);
+    }
+  } else {
+    this->log.Add(now, "leases not renewed",
+                  "fence={} runs={} leadership_confirmed_ms={}",
+                  this->options.fence, this->runs.size(),
+                  base::ToMilliseconds(age));
+    this->unconfirmed_since = now;
+  }
+}
+
 void PoolPlanner::SetQueues(const QueueTable& table, const PlannerTime& time) {
   if (table.version < this->queues.version) return;
   this->queues = table;
@@ -142,10 +171,12 @@
 
 std::vector<Effect> PoolPlanner::Advance(const PlannerTime& time) {
   if (!this->superseded) {
+    this->CheckLeadership(time.now);
     this->DropExpiredWorkers(time);
     this->DropUnlistedUnsyncedWorkers(time.now);
     this->SendStops(time);
-    if (!this->handing_over && time.now >= this->earliest_scheduling_at &&
+    if (!this->handing_over && !this->unconfirmed_since &&
+        time.now >= this->earliest_scheduling_at &&
         (this->scheduling_needed || time.now >= this->next_scheduling_at)) {
       this->scheduling_needed = false;
       this->next_scheduling_at = time.now + kMaxSchedulingInterval;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -6,6 +6,7 @@
 #ifndef AGATEPASS_POOL_POOL_PLANNER_H_
 #define AGATEPASS_POOL_POOL_PLANNER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -171,6 +172,16 @@
    * \return the effects to carry out, in this order. */
   std::vector<Effect> Advance(const PlannerTime& time);
 
+  /** Records that no other planner had begun its term by then. While the latest
+   * such time is too old, no leases are renewed and no tasks are started, as
+   * another planner may take runs that it cannot see for ended. Until the first
+   * call nothing is held back.
+   * \param confirmed_at that time; an earlier one than before is ignored. */
+  void SetLeadershipConfirmedAt(base::Instant confirmed_at) {
+    this->leadership_confirmed_at =
+        std::max(this->leadership_confirmed_at, std::optional(confirmed_at));
+  }
+
   /** Whether all jobs are in the store and no cancellation waits for it, so
    * that the term may end. */
   bool IsReadyForHandover() const;
@@ -322,6 +333,9 @@
   /** Whether no run of an earlier term can be left on a worker that was not
    * synced in this term. */
   bool CanStartInheritedJobs(base::Instant now) const;
+  /** Decides whether leases may be renewed and tasks be started
+   * (pool_planner.cpp). */
+  void CheckLeadership(base::Instant now);
   /** Stops planning, as another planner has superseded this one
    * (pool_planner.cpp). */
   void EndLeadership(std::string reason);
@@ -440,6 +454,10 @@
   /** Number of ready steps in the last scheduling pass. */
   size_t ready_steps = 0;
   base::Instant term_started_at;
+  /** Latest time by which no other planner had begun its term. */
+  std::optional<base::Instant> leadership_confirmed_at;
+  /** Since when that is too old to renew leases and to start tasks. */
+  std::optional<base::Instant> unconfirmed_since;
   /** When the leases of earlier terms have expired everywhere: runs on workers
    * that no sync of this term reaches have ended by then. */
   base::Instant inherited_runs_expire_at;
--- /dev/null
+++ b/src/agatepass/pool/tests/superseded_planner_test.cpp
@@ -0,0 +1,106 @@
+// A planner that may have been superseded without noticing it. The next planner
+// takes the runs on workers that it cannot reach for ended once their leases
+// must have expired, so a superseded planner that still reaches such a worker
+// must have stopped to renew its lease and to start tasks there. A planner that
+// cannot be superseded must not: its runs would lapse.
+#include "fakes/pool_cell.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using fakes::MakePoolJob;
+using fakes::PoolCell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr size_t kWorkers = 3;
+constexpr Fence kFirstPlanner = 1;
+constexpr Fence kSecondPlanner = 2;
+
+size_t FindBusyWorker(PoolCell& cell) {
+  size_t index = 0;
+  while (index + 1 < kWorkers && cell.worker(index).GetRuns().empty()) ++index;
+  return index;
+}
+
+/** Splits the pool: the first planner reaches only this worker, and neither the
+ * store nor another host; the second one reaches all but this worker. */
+void SplitPool(PoolCell& cell, size_t worker) {
+  auto& first = cell.faults.planner_cut_offs[kFirstPlanner];
+  first.store = true;
+  first.hosts = true;
+  for (size_t i = 0; i < kWorkers; ++i) {
+    if (i != worker) first.workers.insert(cell.worker(i).record.worker);
+  }
+  cell.faults.planner_cut_offs[kSecondPlanner].workers.insert(
+      cell.worker(worker).record.worker);
+}
+
+/** Plays a split of the pool in which the second planner is elected after
+ * `until_elected`, and the split lasts for long after that. */
+void PlaySplit(Job job, base::Duration until_elected) {
+  PoolCell cell(1, kWorkers);
+  cell.Submit(std::move(job));
+  cell.RunFor(seconds(1));
+  SplitPool(cell, FindBusyWorker(cell));
+  cell.RunFor(until_elected);
+  cell.ReplacePlanner();
+  cell.RunFor(seconds(25));
+  cell.faults = {};
+  cell.RunFor(seconds(40));
+  SCOPED_TRACE(cell.TakeLog());
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.UnfinishedJobs(), std::vector<base::JobId>());
+}
+
+TEST(SupersededPlanner, ARunThatOnlyItReachesEndsBeforeItsTaskStartsAgain) {
+  // A planner that is lost may be replaced at once or after its lease.
+  for (const milliseconds until_elected :
+       {milliseconds(0), milliseconds(400), milliseconds(1300),
+        milliseconds(5000)}) {
+    SCOPED_TRACE(until_elected.count());
+    PlaySplit(MakePoolJob("a", 1, 5000, seconds(20)), until_elected);
+  }
+}
+
+TEST(SupersededPlanner, DoesNotStartTasksThatTheNextPlannerStarts) {
+  // One task fits on a worker at a time: as each run ends, both planners have
+  // tasks left to start.
+  PlaySplit(MakePoolJob("a", 20, 5000, seconds(3)), milliseconds(400));
+}
+
+TEST(SupersededPlanner, RunsOutliveAnOutageOfTheStoreWhileTheHostsAnswer) {
+  // No host reaches the store, so none can be elected.
+  PoolCell cell(1, kWorkers);
+  cell.Submit(MakePoolJob("a", 1, 5000, seconds(20)));
+  cell.RunFor(seconds(1));
+  cell.faults.planner_cut_offs[kFirstPlanner].store = true;
+  cell.RunFor(seconds(18));
+  cell.faults = {};
+  cell.RunFor(seconds(5));
+  EXPECT_EQ(cell.CountStarts({base::JobId("a"), 0, 0, 0}), 1) << cell.TakeLog();
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
+TEST(SupersededPlanner, RunsOutliveAShortSplit) {
+  // No other planner is elected: after the split the leases are renewed again,
+  // and tasks that wait are started.
+  PoolCell cell(1, kWorkers);
+  cell.Submit(MakePoolJob("a", 1, 5000, seconds(15)));
+  cell.RunFor(seconds(1));
+  SplitPool(cell, FindBusyWorker(cell));
+  cell.RunFor(seconds(5));
+  cell.Submit(MakePoolJob("b", 6, 5000, seconds(1)));
+  cell.RunFor(seconds(1));
+  EXPECT_EQ(cell.CountStarts({base::JobId("b"), 0, 0, 0}), 0);
+  cell.faults = {};
+  cell.RunFor(seconds(12));
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(cell.CountStarts({base::JobId("a"), 0, 0, 0}), 1) << cell.TakeLog();
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+  EXPECT_EQ(cell.StoredPhase(base::JobId("b")), JobPhase::kSucceeded);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
