--- a/fakes/pool_worker.cpp
+++ b/fakes/pool_worker.cpp
@@ -10,9 +10,6 @@
  * virtual time (rate 1). */
 constexpr double kClockRate = 0.985;
 
-/** Time from a stop request to the end of the run. */
-constexpr base::Duration kStopDuration = std::chrono::milliseconds(300);
-
 /** Maximum number of ends in one answer. */
 constexpr size_t kMaxListedEnds = 500;
 
@@ -73,7 +70,7 @@
   pool::RunNumber& highest_stale = this->highest_stale_run[request.task];
   const auto run = this->runs.find(request.task);
   if (run != this->runs.end() && run->second.number == request.run) {
-    if (!run->second.stops_at) run->second.stops_at = now + kStopDuration;
+    if (!run->second.stops_at) run->second.stops_at = now + this->stop_duration;
   }
   highest_stale = std::max(highest_stale, request.run);
   return reply;
--- a/fakes/pool_worker.h
+++ b/fakes/pool_worker.h
@@ -86,6 +86,8 @@
   }
 
   pool::WorkerRecord record;
+  /** Time from a stop request to the end of the run. */
+  base::Duration stop_duration = std::chrono::milliseconds(300);
   /** Whether its runs make no progress. */
   bool runs_stall = false;
 
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -47,8 +47,11 @@
     this->QueueSync(*slot);
     slot->last_answer_at = time.now;
     slot->lease_expires_at = this->inherited_runs_expire_at;
-  } else if (slot->started_at_ms != 0 && record.started_at_ms != 0 &&
-             slot->started_at_ms != record.started_at_ms) {
+  } else if (const int64_t known_start = slot->started_at_ms != 0
+                                             ? slot->started_at_ms
+                                             : slot->record.started_at_ms;
+             known_start != 0 && record.started_at_ms != 0 &&
+             known_start != record.started_at_ms) {
     // Its runs are kept until the next sync shows which are left: requests may
     // have reached the new incarnation.
     this->ForgetIncarnation(*slot, time);
@@ -139,8 +142,9 @@
     request.acknowledged_up_to = worker.last_stored_end;
   }
   // The lease of a worker that does not answer is not renewed, so that it
-  // expires and its runs provably end.
-  if (worker.unanswered_calls == 0) {
+  // expires and its runs provably end; nor is any lease while this planner may
+  // be superseded.
+  if (worker.unanswered_calls == 0 && !this->unconfirmed_since) {
     request.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
   }
   if (long_poll) {
@@ -210,7 +214,9 @@
   }
 }
 
-void PoolPlanner::HandleFailedSync(WorkerState& worker, WorkerCallResult result,
+void PoolPlanner::HandleFailedSync(WorkerState& worker,
+                                   const SyncRequest& request,
+                                   WorkerCallResult result,
                                    const PlannerTime& time) {
   if (result == WorkerCallResult::kOtherIncarnation &&
       !worker.MayConcernFormerIncarnation(request.sent_at)) {
@@ -235,7 +241,7 @@
   (quick ? worker.quick_sync_in_flight : worker.sync_in_flight) = false;
   this->QueueSync(worker);
   if (reply.result != WorkerCallResult::kDone) {
-    this->HandleFailedSync(worker, reply.result, time);
+    this->HandleFailedSync(worker, request, reply.result, time);
     return;
   }
   const bool may_be_former =
@@ -280,7 +286,7 @@
   worker.next_sync = time.now;
   if (!worker.unstored_ends.empty()) {
     worker.next_sync += this->IsAboutToShutDown(worker, time.now)
-                            ? this->options.last_syncs_delay
+                            ? this->options.syncs_before_shutdown_delay
                             : this->options.sync_retry_delay;
   }
   this->scheduling_needed = true;
@@ -383,6 +389,10 @@
   run.start_requested_at = time.now;
   run.start_confirmed_at = time.now;
   run.last_progress = {report.percent, time.now};
+  // Whoever started it granted no longer lease.
+  worker.lease_expires_at =
+      std::max(worker.lease_expires_at,
+               time.now + this->OnSlowestClock(this->options.worker_lease));
   this->log.Add(time.now,
                 needed ? "run of earlier term continued" : "run not needed",
                 "task={} run={} worker={} percent={}", ToString(report.task),
@@ -469,12 +479,14 @@
   this->DropExpiredWorkers(time);
 }
 
+bool PoolPlanner::HasExpired(base::Instant lease_end, base::Instant now) const {
+  return std::min(now, this->leadership_confirmed_at.value_or(now)) > lease_end;
+}
+
 void PoolPlanner::DropExpiredWorkers(const PlannerTime& time) {
   for (auto entry = this->workers.begin(); entry != this->workers.end();) {
     WorkerState& worker = *entry->second;
-    // The latest lease that the worker may hold has not expired on the slowest
-    // clock allowed.
-    if (time.now <= worker.lease_expires_at) {
+    if (!this->HasExpired(worker.lease_expires_at, time.now)) {
       ++entry;
       continue;
     }
@@ -509,8 +521,10 @@
 }
 
 void PoolPlanner::DropUnlistedUnsyncedWorkers(base::Instant now) {
-  if (this->unsynced_workers.empty() || now < this->inherited_runs_expire_at)
+  if (this->unsynced_workers.empty() ||
+      !this->HasExpired(this->inherited_runs_expire_at, now)) {
     return;
+  }
   // A worker that is not listed by now has no runs that the next planner would
   // have to wait for.
   const size_t size_before = this->unsynced_workers.size();
@@ -522,7 +536,7 @@
 
 bool PoolPlanner::CanStartInheritedJobs(base::Instant now) const {
   if (this->unsynced_workers.empty()) return true;
-  if (now < this->inherited_runs_expire_at) return false;
+  if (!this->HasExpired(this->inherited_runs_expire_at, now)) return false;
   // A worker that answers may list the ends of these runs only later.
   return std::none_of(this->unsynced_workers.begin(),
                       this->unsynced_workers.end(),
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -6,6 +6,7 @@
 #ifndef AGATEPASS_POOL_POOL_PLANNER_H_
 #define AGATEPASS_POOL_POOL_PLANNER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -175,6 +176,16 @@
    * \return the effects to carry out, in this order. */
   std::vector<Effect> Advance(const PlannerTime& time);
 
+  /** Records that no other planner had begun its term by then. While the latest
+   * such time is too old, no leases are renewed and no tasks are started, as
+   * another planner may take runs that it cannot see for ended. Until the first
+   * call nothing is held back.
+   * \param confirmed_at that time; an earlier one than before is ignored. */
+  void SetLeadershipConfirmedAt(base::Instant confirmed_at) {
+    this->leadership_confirmed_at =
+        std::max(this->leadership_confirmed_at, std::optional(confirmed_at));
+  }
+
   /** Whether all jobs are in the store and no cancellation waits for it, so
    * that the term may end. */
   bool IsReadyForHandover() const;
@@ -284,8 +295,8 @@
   void SendSync(WorkerState& worker, bool long_poll, const PlannerTime& time);
   /** Handles a sync that failed or was not answered, and schedules the next
    * one. */
-  void HandleFailedSync(WorkerState& worker, WorkerCallResult result,
-                        const PlannerTime& time);
+  void HandleFailedSync(WorkerState& worker, const SyncRequest& request,
+                        WorkerCallResult result, const PlannerTime& time);
   void SendStops(const PlannerTime& time);
   /** Returns the end of a lease that is granted now, in milliseconds on the
    * worker's clock; nothing while that clock is unknown. */
@@ -324,6 +335,10 @@
   /** Looks for workers that are about to shut down or whose leases have
    * expired; does nothing if it did so a moment ago. */
   void CheckWorkers(const PlannerTime& time);
+  /** Whether leases that end by `lease_end` at the latest have expired: it is
+   * past, and no later planner can have renewed them before, or learned of ends
+   * that this planner does not know. */
+  bool HasExpired(base::Instant lease_end, base::Instant now) const;
   void DropExpiredWorkers(const PlannerTime& time);
   /** Removes a worker without runs from the planner's state. */
   void RemoveWorker(WorkerState& worker);
@@ -333,6 +348,9 @@
   /** Whether no run of an earlier term can be left on a worker that was not
    * synced in this term. */
   bool CanStartInheritedJobs(base::Instant now) const;
+  /** Decides whether leases may be renewed and tasks be started
+   * (pool_planner.cpp). */
+  void CheckLeadership(base::Instant now);
   /** Stops planning, as another planner has superseded this one
    * (pool_planner.cpp). */
   void EndLeadership(std::string reason);
@@ -342,9 +360,14 @@
    * \param report_age greatest age of that report. */
   void RecordDraining(WorkerState& worker, base::Duration report_age,
                       base::Instant now);
-  /** Whether the runs of a draining worker must be stopped by now, so that
-   * their ends can be read before it shuts down. */
+  /** Whether the runs of a draining worker that cannot end before it shuts down
+   * must be stopped by now, so that their ends can still be read. */
   bool IsAboutToShutDown(const WorkerState& worker, base::Instant now) const;
+  /** Whether a run on a worker that is about to shut down may go on, as it is
+   * expected to end early enough that its end can be read. A run that is
+   * stopped too late to end in time is known not to have succeeded: no run
+   * succeeds after its worker has got the stop. */
+  bool MayEndBeforeShutdown(const RunState& run, base::Instant now) const;
   /** Stops the runs of workers that are about to shut down. */
   void StopRunsBeforeShutdown(const PlannerTime& time);
   /** Returns the duration of a lease that is granted now: not beyond the time
@@ -476,6 +499,10 @@
   /** Number of ready steps in the last scheduling pass. */
   size_t ready_steps = 0;
   base::Instant term_started_at;
+  /** Latest time by which no other planner had begun its term. */
+  std::optional<base::Instant> leadership_confirmed_at;
+  /** Since when that is too old to renew leases and to start tasks. */
+  std::optional<base::Instant> unconfirmed_since;
   /** When the leases of earlier terms have expired everywhere: runs on workers
    * that no sync of this term reaches have ended by then. */
   base::Instant inherited_runs_expire_at;
