Acknowledge nothing while a worker may have started again

After an unanswered call no acknowledgement is sent, as another incarnation may answer that has ends the planner has not read. But the answer to a start, which does not tell the incarnation, counted as a sign that it is the same one: the next sync carried the former acknowledgement, and an end of the run that had just started could be forgotten unseen; its task would be started again.

Only an answer to a sync, which tells the incarnation, now allows acknowledgements again. They are also withheld if an answer shows an earlier reading of the worker's clock, which starts anew with each incarnation: while ends wait to be stored no sync waits at the worker, so a quick restart fails no call. An answer that was overtaken shows that too and costs one sync without an acknowledgement.

--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -95,6 +95,10 @@
 
 void PoolPlanner::RecordAnswer(WorkerState& worker, int64_t clock_ms,
                                base::Instant now) {
+  // Each incarnation's clock starts anew. An answer that was overtaken shows an
+  // earlier reading too, which costs no more than a later acknowledgement.
+  if (worker.clock_ms && clock_ms < *worker.clock_ms)
+    worker.may_have_restarted = true;
   worker.clock_ms = clock_ms;
   worker.clock_read_at = now;
   worker.last_answer_at = now;
@@ -137,10 +141,10 @@
                       .endpoint = worker.record.endpoint,
                       .fence = this->options.fence,
                       .sent_at = time.now};
-  // After an unanswered call another incarnation may answer, whose ends have
-  // not been read. An acknowledgement that was answered is not repeated, as a
-  // sync that a restart cuts off may be carried out by the next incarnation.
-  if (worker.unanswered_calls == 0 &&
+  // Another incarnation may answer, whose ends have not been read. An
+  // acknowledgement that was answered is not repeated, as a sync that a restart
+  // cuts off may be carried out by the next incarnation.
+  if (!worker.may_have_restarted &&
       worker.last_stored_end > worker.last_acknowledged_end) {
     request.acknowledged_up_to = worker.last_stored_end;
   }
@@ -266,6 +270,7 @@
         std::max(worker.last_acknowledged_end, request.acknowledged_up_to);
   }
   this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
+  worker.may_have_restarted = false;
   if (!std::exchange(worker.synced, true)) {
     this->log.Add(time.now, "worker synced", "worker={} running={} ended={}",
                   request.worker.value, reply.running.size(),
@@ -409,6 +414,7 @@
 void PoolPlanner::RecordUnansweredCall(WorkerState& worker,
                                        const PlannerTime& time) {
   ++worker.unanswered_calls;
+  worker.may_have_restarted = true;
   worker.quarantined_until = time.now + this->options.quarantine_time;
   if (worker.unanswered_calls == kUnansweredCallsToLog) {
     this->log.Add(time.now, "worker unresponsive",
@@ -422,6 +428,7 @@
   this->log.Add(time.now, "worker incarnation changed", "worker={} runs={}",
                 worker.record.worker.value, worker.runs.size());
   worker.synced = false;
+  worker.may_have_restarted = true;
   worker.incarnation_changed_at = time.now;
   worker.last_stored_end = 0;
   worker.last_handled_end = 0;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -253,6 +253,10 @@
   uint64_t last_handled_end = 0;
   /** Sequence number up to which it has confirmed to forget its ends. */
   uint64_t last_acknowledged_end = 0;
+  /** Whether another incarnation may answer now: since the last answer to a
+   * sync a call was not answered, or its clock went back. Answers to starts and
+   * stops do not tell the incarnation. */
+  bool may_have_restarted = false;
   /** Whether it may have more ends than its last list of them showed. */
   bool ends_truncated = false;
   std::deque<UnstoredEnd> unstored_ends;
