Ask about any free worker if a step cannot start

Cause: a step that has tickets asks about workers that no answer covers only if the query is likely to find places for 0.4 of its unplaced tasks. That guards the renewal of its tickets, which has to wait meanwhile. But it also held back steps that had nothing to renew: their allowed workers had left, or were draining or full. Their few uncovered workers could never hold enough tasks.

Change: a step none of whose tasks can start on its allowed workers, or a gang that does not fit on them, asks about any worker with free capacity 1 s after its last query. Each worker is still asked about once, and the waits after answers without a start still apply. The signature of `IsQueryWorthwhile` changed; its test checks the same three cases, and a new one the wait.

--- a/src/agatepass/pool/advice_choice.cpp
+++ b/src/agatepass/pool/advice_choice.cpp
@@ -17,6 +17,11 @@
  * a share of the number of unplaced tasks. */
 constexpr double kMinFoundShare = 0.4;
 
+/** Time after its last query after which a step that cannot start asks about
+ * any worker with free capacity. */
+constexpr base::Duration kMaxTimeBetweenQueries =
+    std::chrono::milliseconds(1000);
+
 /** Estimate before the first answer. */
 constexpr double kInitialAllowedShare = 0.4;
 
@@ -64,9 +69,12 @@
   return chosen;
 }
 
-bool IsQueryWorthwhile(double expected_slots, uint32_t unplaced_tasks) {
-  return unplaced_tasks > 0 &&
-         expected_slots >= kMinFoundShare * unplaced_tasks;
+bool IsQueryWorthwhile(const QueryGain& gain) {
+  if (gain.unplaced_tasks == 0) return false;
+  if (gain.cannot_start && gain.since_last_query >= kMaxTimeBetweenQueries) {
+    return true;
+  }
+  return gain.expected_slots >= kMinFoundShare * gain.unplaced_tasks;
 }
 
 base::Duration DelayBeforeNextQuery(uint32_t answers_without_start,
--- a/src/agatepass/pool/advice_choice.h
+++ b/src/agatepass/pool/advice_choice.h
@@ -52,13 +52,24 @@
 std::vector<size_t> ChooseWorkersToName(std::vector<AdviceCandidate> candidates,
                                         const AdviceDemand& demand);
 
+/** Gain from a further query about a step. */
+struct QueryGain {
+  /** Expected number of tasks that fit on the workers which the service is
+   * likely to allow. */
+  double expected_slots = 0;
+  /** Number of waiting tasks that fit on no allowed worker. */
+  uint32_t unplaced_tasks = 0;
+  /** Whether no task of the step can start on the workers allowed so far. */
+  bool cannot_start = false;
+  /** Time since the step's last query. */
+  base::Duration since_last_query{0};
+};
+
 /** Returns whether another query is worthwhile for a step that already has
- * tickets; the step cannot renew these while the query is in flight.
- * \param expected_slots expected number of tasks that fit on the workers which
- *     the service is likely to allow.
- * \param unplaced_tasks number of waiting tasks that fit on no allowed worker.
- */
-bool IsQueryWorthwhile(double expected_slots, uint32_t unplaced_tasks);
+ * tickets. The step cannot renew these while the query is in flight, so the
+ * query should find workers for many of the unplaced tasks. A step that cannot
+ * start anyway asks for fewer, after a while. */
+bool IsQueryWorthwhile(const QueryGain& gain);
 
 /** Returns how long a step waits after an answer before it asks again. Each
  * answer that has not led to a start makes the next one less likely to.
--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -76,10 +76,14 @@
   }
   const double allowed_share =
       this->allowed_shares.EstimateShare(step.job->job.queue);
-  const bool worthwhile =
-      advice.tickets.empty() ||
-      IsQueryWorthwhile(fitting_tasks * allowed_share,
-                        this->CountUnplacedTasks(step, time));
+  const uint32_t unplaced_tasks = this->CountUnplacedTasks(step, time);
+  const QueryGain gain{
+      .expected_slots = fitting_tasks * allowed_share,
+      .unplaced_tasks = unplaced_tasks,
+      // A gang starts with all its tasks or not at all.
+      .cannot_start = step.definition->gang || unplaced_tasks == step.waiting,
+      .since_last_query = time.now - advice.asked_at};
+  const bool worthwhile = advice.tickets.empty() || IsQueryWorthwhile(gain);
   if (candidates.empty() || !worthwhile) {
     this->PostponeAdviceLook(step, time.now);
     return;
--- a/src/agatepass/pool/tests/advice_choice_test.cpp
+++ b/src/agatepass/pool/tests/advice_choice_test.cpp
@@ -59,9 +59,21 @@
 }
 
 TEST(AdviceChoice, AFewMorePlacesDoNotJustifyAQuery) {
-  EXPECT_FALSE(IsQueryWorthwhile(5, 20));
-  EXPECT_TRUE(IsQueryWorthwhile(10, 20));
-  EXPECT_FALSE(IsQueryWorthwhile(10, 0));
+  EXPECT_FALSE(IsQueryWorthwhile({.expected_slots = 5, .unplaced_tasks = 20}));
+  EXPECT_TRUE(IsQueryWorthwhile({.expected_slots = 10, .unplaced_tasks = 20}));
+  EXPECT_FALSE(IsQueryWorthwhile({.expected_slots = 10, .unplaced_tasks = 0}));
+}
+
+TEST(AdviceChoice, AStepThatCannotStartAsksForAFewPlacesAfterAWhile) {
+  QueryGain gain{.expected_slots = 0.3,
+                 .unplaced_tasks = 20,
+                 .cannot_start = true,
+                 .since_last_query = std::chrono::milliseconds(100)};
+  EXPECT_FALSE(IsQueryWorthwhile(gain));
+  gain.since_last_query = std::chrono::seconds(1);
+  EXPECT_TRUE(IsQueryWorthwhile(gain));
+  gain.cannot_start = false;
+  EXPECT_FALSE(IsQueryWorthwhile(gain));
 }
 
 TEST(AdviceChoice, StepsThatFindNoRoomAskLessAndLess) {
