Do not take a planner that no host has called for the only host at once

LeadershipEvidence took it for the only host of the pool, which needs no evidence.

Cause: no known host means both "alone" and "not called yet". Now the store must have confirmed the term for 3 s without a call of a host; hosts call each second.

APlannerThatIsCutOffAtOnceMayNotBeTheOnlyHost and StopsAlsoIfNoHostHasCalledItYet fail without the change ("leases not renewed" is missing in the log). APoolOfOneHostNeedsNone now first spends those 3 s in touch with the store.

--- a/src/agatepass/pool/leadership_evidence.cpp
+++ b/src/agatepass/pool/leadership_evidence.cpp
@@ -48,7 +48,11 @@
 }
 
 base::Instant LeadershipEvidence::ConfirmedAt(base::Instant now) const {
-  if (this->hosts.empty()) return now;
+  if (this->hosts.empty()) {
+    const bool is_only_host =
+        this->store_confirmed_at >= this->began_at + kHostsCallWithin;
+    return is_only_host ? now : this->store_confirmed_at;
+  }
   base::Instant by_hosts = now;
   for (const auto& [endpoint, host] : this->hosts) {
     by_hosts = std::min(by_hosts, host.answered_at);
--- a/src/agatepass/pool/leadership_evidence.h
+++ b/src/agatepass/pool/leadership_evidence.h
@@ -16,7 +16,8 @@
  *   died during an outage): leases are not renewed. Runs lapse only if that
  *   outlasts the workers' leases; a shorter split costs no run. A refused
  *   connection counts as silence: a split network may refuse them as well.
- * - No other host is known: there is none that could be elected, runs go on.
+ * - No other host is known, after some time in touch with the store in which
+ *   others would have called: there is none that could be elected, runs go on.
  * A host that this planner never heard of is not asked; should only such hosts
  * reach the store, the evidence is wrong.
  */
@@ -65,9 +66,15 @@
    * been silent to be left out, as it is gone. */
   static constexpr base::Duration kMaxHostAge = std::chrono::seconds(30);
 
+  /** Time in touch with the store after which a planner that no host has called
+   * is the only host: hosts call it each second. */
+  static constexpr base::Duration kHostsCallWithin = std::chrono::seconds(3);
+
   /** \param confirmed_at when the write of the planner's key was sent. */
   explicit LeadershipEvidence(base::Instant confirmed_at)
-      : store_confirmed_at(confirmed_at), key_read_at(confirmed_at) {}
+      : began_at(confirmed_at),
+        store_confirmed_at(confirmed_at),
+        key_read_at(confirmed_at) {}
 
   /** Records that the store showed the planner's key to be this term's.
    * \param sent_at when that call was sent. */
@@ -114,6 +121,7 @@
     base::Instant answered_at;
   };
 
+  base::Instant began_at;
   base::Instant store_confirmed_at;
   base::Instant key_read_at;
   std::optional<base::Instant> hosts_asked_at;
--- a/src/agatepass/pool/tests/leadership_evidence_test.cpp
+++ b/src/agatepass/pool/tests/leadership_evidence_test.cpp
@@ -48,9 +48,17 @@
 
 TEST(LeadershipEvidence, APoolOfOneHostNeedsNone) {
   LeadershipEvidence evidence(kStart);
+  evidence.OnStoreConfirmation(kStart + LeadershipEvidence::kHostsCallWithin);
   EXPECT_EQ(evidence.ConfirmedAt(kStart + seconds(9)), kStart + seconds(9));
 }
 
+TEST(LeadershipEvidence, APlannerThatIsCutOffAtOnceMayNotBeTheOnlyHost) {
+  // No host could call it yet.
+  LeadershipEvidence evidence(kStart);
+  evidence.OnStoreConfirmation(kStart + seconds(2));
+  EXPECT_EQ(evidence.ConfirmedAt(kStart + seconds(99)), kStart + seconds(2));
+}
+
 TEST(LeadershipEvidence, AHostIsLeftOutOnlyOnceTheStoreConfirmsTheTerm) {
   // A planner that is cut off for long must not take all hosts for gone.
   LeadershipEvidence evidence = MakeEvidenceWithHosts();
--- a/src/agatepass/pool/tests/superseded_planner_test.cpp
+++ b/src/agatepass/pool/tests/superseded_planner_test.cpp
@@ -64,6 +64,18 @@
   }
 }
 
+TEST(SupersededPlanner, StopsAlsoIfNoHostHasCalledItYet) {
+  // Without any host that it knows, it could take itself for the only one.
+  PoolCell cell(1, kWorkers);
+  SplitPool(cell, 0);
+  cell.Submit(MakePoolJob("a", 1, 5000, seconds(4)));
+  cell.RunFor(milliseconds(400));
+  cell.ReplacePlanner();
+  cell.Submit(MakePoolJob("b", 1, 5000, seconds(4)));
+  cell.RunFor(seconds(3));
+  EXPECT_NE(cell.TakeLog().find("leases not renewed"), std::string::npos);
+}
+
 TEST(SupersededPlanner, DoesNotStartTasksThatTheNextPlannerStarts) {
   // One task fits on a worker at a time: as each run ends, both planners have
   // tasks left to start.
