--- a/fakes/pool_worker.cpp
+++ b/fakes/pool_worker.cpp
@@ -10,8 +10,8 @@
  * virtual time (rate 1). */
 constexpr double kClockRate = 0.985;
 
-/** Time from a stop request to the end of the run. */
-constexpr base::Duration kStopDuration = std::chrono::milliseconds(300);
+/** Maximum number of ends in one answer. */
+constexpr size_t kMaxListedEnds = 500;
 
 }  // namespace
 
@@ -70,7 +70,7 @@
   pool::RunNumber& highest_stale = this->highest_stale_run[request.task];
   const auto run = this->runs.find(request.task);
   if (run != this->runs.end() && run->second.number == request.run) {
-    if (!run->second.stops_at) run->second.stops_at = now + kStopDuration;
+    if (!run->second.stops_at) run->second.stops_at = now + this->stop_duration;
   }
   highest_stale = std::max(highest_stale, request.run);
   return reply;
@@ -96,8 +96,11 @@
                              .run = run.number,
                              .percent = ProgressPercent(run, now)});
   }
-  for (const UnacknowledgedEnd& listed : this->unacknowledged_ends)
+  for (const UnacknowledgedEnd& listed : this->unacknowledged_ends) {
+    if (reply.ended.size() == kMaxListedEnds) break;
     reply.ended.push_back(listed.report);
+  }
+  reply.ends_truncated = reply.ended.size() == kMaxListedEnds;
   return reply;
 }
 
--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -204,7 +204,10 @@
     if (!this->callback) return;
     if (outcome.delivery != Delivery::kAnswered) {
       this->broken = true;
-      outcome.partial_answer_bytes = this->bytes_read;
+      if (this->bytes_read > 0) {
+        outcome.fault +=
+            fmt::format(" after {} bytes of the answer", this->bytes_read);
+      }
     }
     if (outcome.delivery == Delivery::kUnknown && this->bytes_written == 0) {
       outcome.delivery = Delivery::kNotSent;
--- a/src/agatepass/base/tests/http_closing_server_test.cpp
+++ b/src/agatepass/base/tests/http_closing_server_test.cpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "agatepass/base/http_client.h"
+#include "fmt/format.h"
 #include "gtest/gtest.h"
 
 namespace agatepass::base {
@@ -114,8 +115,10 @@
   const std::string part = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nla";
   const HttpOutcome outcome = this->SendAndClose(part, false);
   EXPECT_EQ(outcome.delivery, Delivery::kUnknown);
-  EXPECT_EQ(outcome.partial_answer_bytes, part.size());
-  EXPECT_EQ(this->SendAndClose("", false).partial_answer_bytes, 0U);
+  EXPECT_EQ(outcome.fault, fmt::format("connection closed after {} bytes of "
+                                       "the answer",
+                                       part.size()));
+  EXPECT_EQ(this->SendAndClose("", false).fault, "connection closed");
 }
 
 TEST_F(HttpClosingServer, AConnectionAttemptWithoutAnAnswerIsNotRefused) {
--- a/src/agatepass/pool/planner_draining.cpp
+++ b/src/agatepass/pool/planner_draining.cpp
@@ -1,9 +1,11 @@
-// Draining workers: their runs are stopped early enough before the announced
-// shutdown that all ends can be read. What ends in the last instant would be
-// known to nobody, and its task would have to be started again in doubt.
+// Draining workers: their runs end or are stopped before the announced
+// shutdown, early enough that all ends can be read. What ends in the last
+// instant would be known to nobody, and its task would have to be started again
+// in doubt.
 #include <algorithm>
 
 #include "agatepass/pool/pool_planner.h"
+#include "agatepass/pool/stall_detection.h"
 
 namespace agatepass::pool {
 
@@ -25,11 +27,22 @@
                                         this->options.shutdown_margin;
 }
 
+bool PoolPlanner::MayEndBeforeShutdown(const RunState& run,
+                                       base::Instant now) const {
+  const base::Instant latest_end =
+      *run.worker->leaves_at - this->options.shutdown_margin;
+  if (now >= latest_end || run.step == nullptr) return false;
+  if (run.step->definition->long_running) return false;
+  return PredictEnd(run.start_requested_at, run.last_progress.at,
+                    run.last_progress.percent, run.expected_end) <= latest_end;
+}
+
 void PoolPlanner::StopRunsBeforeShutdown(const PlannerTime& time) {
   for (const auto& [id, worker] : this->workers) {
     if (!this->IsAboutToShutDown(*worker, time.now)) continue;
     for (RunState* run : worker->runs) {
       if (run->phase == RunPhase::kStopping) continue;
+      if (this->MayEndBeforeShutdown(*run, time.now)) continue;
       ++this->totals.runs_stopped_before_shutdown;
       this->log.Add(time.now, "run stopped before worker shuts down",
                     "task={} run={} worker={} leaves_in_ms={} percent={}",
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -47,8 +47,11 @@
     this->QueueSync(*slot);
     slot->last_answer_at = time.now;
     slot->lease_expires_at = this->inherited_runs_expire_at;
-  } else if (slot->started_at_ms != 0 && record.started_at_ms != 0 &&
-             slot->started_at_ms != record.started_at_ms) {
+  } else if (const int64_t known_start = slot->started_at_ms != 0
+                                             ? slot->started_at_ms
+                                             : slot->record.started_at_ms;
+             known_start != 0 && record.started_at_ms != 0 &&
+             known_start != record.started_at_ms) {
     // Its runs are kept until the next sync shows which are left: requests may
     // have reached the new incarnation.
     this->ForgetIncarnation(*slot, time);
@@ -89,6 +92,10 @@
 
 void PoolPlanner::RecordAnswer(WorkerState& worker, int64_t clock_ms,
                                base::Instant now) {
+  // Each incarnation's clock starts anew. An answer that was overtaken shows an
+  // earlier reading too, which costs no more than a later acknowledgement.
+  if (worker.clock_ms && clock_ms < *worker.clock_ms)
+    worker.may_have_restarted = true;
   worker.clock_ms = clock_ms;
   worker.clock_read_at = now;
   worker.last_answer_at = now;
@@ -131,13 +138,17 @@
                       .endpoint = worker.record.endpoint,
                       .fence = this->options.fence,
                       .sent_at = time.now};
-  // After an unanswered call another incarnation may answer, whose ends have
-  // not been read.
-  if (worker.unanswered_calls == 0)
+  // Another incarnation may answer, whose ends have not been read. An
+  // acknowledgement that was answered is not repeated, as a sync that a restart
+  // cuts off may be carried out by the next incarnation.
+  if (!worker.may_have_restarted &&
+      worker.last_stored_end > worker.last_acknowledged_end) {
     request.acknowledged_up_to = worker.last_stored_end;
+  }
   // The lease of a worker that does not answer is not renewed, so that it
-  // expires and its runs provably end.
-  if (worker.unanswered_calls == 0) {
+  // expires and its runs provably end; nor is any lease while this planner may
+  // be superseded.
+  if (worker.unanswered_calls == 0 && !this->unconfirmed_since) {
     request.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
   }
   if (long_poll) {
@@ -176,15 +187,20 @@
   }
 }
 
-void PoolPlanner::OnStop(const TaskName& task, RunNumber number,
+void PoolPlanner::OnStop(const StopRequest& request,
                          const StartStopReply& reply, const PlannerTime& time) {
   if (reply.result == WorkerCallResult::kFenced) {
     this->EndLeadership("a worker has seen a higher fence");
     return;
   }
-  RunState* run = this->FindRun(task, number);
-  if (run == nullptr) return;
+  RunState* run = this->FindRun(request.task, request.run);
+  // The stop of a duplicate says nothing about the run on the other worker.
+  if (run == nullptr || run->worker->record.worker != request.worker) return;
   run->stop_in_flight = false;
+  if (std::exchange(run->stop_outdated, false)) {
+    run->next_stop = time.now;
+    return;
+  }
   switch (reply.result) {
     case WorkerCallResult::kDone:
     case WorkerCallResult::kStaleRun:
@@ -202,9 +218,12 @@
   }
 }
 
-void PoolPlanner::HandleFailedSync(WorkerState& worker, WorkerCallResult result,
+void PoolPlanner::HandleFailedSync(WorkerState& worker,
+                                   const SyncRequest& request,
+                                   WorkerCallResult result,
                                    const PlannerTime& time) {
-  if (result == WorkerCallResult::kOtherIncarnation) {
+  if (result == WorkerCallResult::kOtherIncarnation &&
+      !worker.MayConcernFormerIncarnation(request.sent_at)) {
     this->EndIncarnation(worker, time);
   } else {
     this->RecordUnansweredCall(worker, time);
@@ -226,15 +245,24 @@
   (quick ? worker.quick_sync_in_flight : worker.sync_in_flight) = false;
   this->QueueSync(worker);
   if (reply.result != WorkerCallResult::kDone) {
-    this->HandleFailedSync(worker, reply.result, time);
+    this->HandleFailedSync(worker, request, reply.result, time);
     return;
   }
-  if (worker.started_at_ms != 0 &&
-      reply.started_at_ms != worker.started_at_ms) {
-    this->ForgetIncarnation(worker, time);
+  const bool may_be_former =
+      worker.MayConcernFormerIncarnation(request.sent_at);
+  if (reply.started_at_ms != worker.started_at_ms) {
+    if (may_be_former) {
+      this->HandleFormerIncarnation(worker, reply, time);
+      return;
+    }
+    if (worker.started_at_ms != 0) this->ForgetIncarnation(worker, time);
+    worker.started_at_ms = reply.started_at_ms;
+  } else if (!may_be_former) {
+    worker.last_acknowledged_end =
+        std::max(worker.last_acknowledged_end, request.acknowledged_up_to);
   }
-  worker.started_at_ms = reply.started_at_ms;
   this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
+  worker.may_have_restarted = false;
   if (!std::exchange(worker.synced, true)) {
     // The fence of this sync ends renewals by earlier planners.
     worker.lease_expires_at =
@@ -248,18 +276,41 @@
     if (report.sequence_number > worker.last_handled_end)
       this->HandleEnd(worker, report, time);
   }
+  if (!worker.unstored_ends.empty()) {
+    // Ends that change nothing need no commit before they are acknowledged.
+    this->AcknowledgeStoredEnds(worker, time);
+    if (worker.unstored_ends.empty())
+      std::erase(this->workers_with_unstored_ends, &worker);
+  }
   this->HandleReportedRuns(worker, reply, time);
-  this->HandleMissingRuns(worker, request.sent_at, reply, time);
-  this->unsynced_workers.erase(request.worker);
+  worker.ends_truncated = reply.ends_truncated;
+  if (!worker.ends_truncated) {
+    this->HandleMissingRuns(worker, request.sent_at, reply, time);
+    this->unsynced_workers.erase(request.worker);
+  }
   worker.next_sync = time.now;
   if (!worker.unstored_ends.empty()) {
     worker.next_sync += this->IsAboutToShutDown(worker, time.now)
-                            ? this->options.last_syncs_delay
+                            ? this->options.syncs_before_shutdown_delay
                             : this->options.sync_retry_delay;
   }
   this->scheduling_needed = true;
 }
 
+void PoolPlanner::HandleFormerIncarnation(WorkerState& worker,
+                                          const SyncReply& reply,
+                                          const PlannerTime& time) {
+  this->log.Add(time.now, "late answer of another worker incarnation",
+                "worker={} started_at_ms={} ended={}",
+                worker.record.worker.value, reply.started_at_ms,
+                reply.ended.size());
+  for (const ReportedEnd& report : reply.ended) {
+    this->ApplyEnd(worker, report, time);
+  }
+  worker.next_sync = time.now;
+  this->scheduling_needed = true;
+}
+
 void PoolPlanner::HandleReportedRuns(WorkerState& worker,
                                      const SyncReply& reply,
                                      const PlannerTime& time) {
@@ -343,6 +394,10 @@
   run.start_requested_at = time.now;
   run.start_confirmed_at = time.now;
   run.last_progress = {report.percent, time.now};
+  // Whoever started it granted no longer lease.
+  worker.lease_expires_at =
+      std::max(worker.lease_expires_at,
+               time.now + this->OnSlowestClock(this->options.worker_lease));
   this->log.Add(time.now,
                 needed ? "run of earlier term continued" : "run not needed",
                 "task={} run={} worker={} percent={}", ToString(report.task),
@@ -362,6 +417,7 @@
 void PoolPlanner::RecordUnansweredCall(WorkerState& worker,
                                        const PlannerTime& time) {
   ++worker.unanswered_calls;
+  worker.may_have_restarted = true;
   worker.quarantined_until = time.now + this->options.quarantine_time;
   if (worker.unanswered_calls == kUnansweredCallsToLog) {
     this->log.Add(time.now, "worker unresponsive",
@@ -375,12 +431,24 @@
   this->log.Add(time.now, "worker incarnation changed", "worker={} runs={}",
                 worker.record.worker.value, worker.runs.size());
   worker.synced = false;
+  worker.may_have_restarted = true;
+  worker.incarnation_changed_at = time.now;
   worker.last_stored_end = 0;
   worker.last_handled_end = 0;
+  worker.last_acknowledged_end = 0;
+  worker.ends_truncated = false;
   worker.unstored_ends.clear();
   worker.clock_ms.reset();
   worker.started_at_ms = 0;
   worker.next_sync = time.now;
+  for (RunState* run : worker.runs) {
+    // The new incarnation may still get the start, and has seen no stop.
+    if (run->stop_in_flight) run->stop_outdated = true;
+    if (run->stop_confirmed_at && run->start_confirmed_at == base::Instant()) {
+      run->stop_confirmed_at.reset();
+      run->next_stop = time.now;
+    }
+  }
 }
 
 void PoolPlanner::EndIncarnation(WorkerState& worker, const PlannerTime& time) {
@@ -418,12 +486,14 @@
   this->DropExpiredWorkers(time);
 }
 
+bool PoolPlanner::HasExpired(base::Instant lease_end, base::Instant now) const {
+  return std::min(now, this->leadership_confirmed_at.value_or(now)) > lease_end;
+}
+
 void PoolPlanner::DropExpiredWorkers(const PlannerTime& time) {
   for (auto entry = this->workers.begin(); entry != this->workers.end();) {
     WorkerState& worker = *entry->second;
-    // The latest lease that the worker may hold has not expired on the slowest
-    // clock allowed.
-    if (time.now <= worker.lease_expires_at) {
+    if (!this->HasExpired(worker.lease_expires_at, time.now)) {
       ++entry;
       continue;
     }
@@ -458,8 +528,10 @@
 }
 
 void PoolPlanner::DropUnlistedUnsyncedWorkers(base::Instant now) {
-  if (this->unsynced_workers.empty() || now < this->inherited_runs_expire_at)
+  if (this->unsynced_workers.empty() ||
+      !this->HasExpired(this->inherited_runs_expire_at, now)) {
     return;
+  }
   // A worker that is not listed by now has no runs that the next planner would
   // have to wait for.
   const size_t size_before = this->unsynced_workers.size();
@@ -470,8 +542,18 @@
 }
 
 bool PoolPlanner::CanStartInheritedJobs(base::Instant now) const {
-  if (now >= this->inherited_runs_expire_at) return true;
-  return this->unsynced_workers.empty();
+  if (this->unsynced_workers.empty()) return true;
+  if (!this->HasExpired(this->inherited_runs_expire_at, now)) return false;
+  // A worker that answers may list the ends of these runs only later.
+  return std::none_of(this->unsynced_workers.begin(),
+                      this->unsynced_workers.end(),
+                      [&](const base::WorkerId& id) {
+                        const auto worker = this->workers.find(id);
+                        return worker != this->workers.end() &&
+                               worker->second->ends_truncated &&
+                               now < worker->second->last_answer_at +
+                                         this->options.worker_lease;
+                      });
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -6,6 +6,7 @@
 #ifndef AGATEPASS_POOL_POOL_PLANNER_H_
 #define AGATEPASS_POOL_POOL_PLANNER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -155,8 +156,9 @@
   /** Handles the answer to a StartRequest for a run of a task. */
   void OnStart(const TaskName& task, RunNumber run, const StartStopReply& reply,
                const PlannerTime& time);
-  /** Handles the answer to a StopRequest for a run of a task. */
-  void OnStop(const TaskName& task, RunNumber run, const StartStopReply& reply,
+  /** Handles the answer to a StopRequest.
+   * \param request the request that is answered. */
+  void OnStop(const StopRequest& request, const StartStopReply& reply,
               const PlannerTime& time);
   /** Handles the answer to a SyncRequest: the worker's lists of runs and ends.
    * \param request the request that is answered. */
@@ -174,6 +176,16 @@
    * \return the effects to carry out, in this order. */
   std::vector<Effect> Advance(const PlannerTime& time);
 
+  /** Records that no other planner had begun its term by then. While the latest
+   * such time is too old, no leases are renewed and no tasks are started, as
+   * another planner may take runs that it cannot see for ended. Until the first
+   * call nothing is held back.
+   * \param confirmed_at that time; an earlier one than before is ignored. */
+  void SetLeadershipConfirmedAt(base::Instant confirmed_at) {
+    this->leadership_confirmed_at =
+        std::max(this->leadership_confirmed_at, std::optional(confirmed_at));
+  }
+
   /** Whether all jobs are in the store and no cancellation waits for it, so
    * that the term may end. */
   bool IsReadyForHandover() const;
@@ -283,8 +295,8 @@
   void SendSync(WorkerState& worker, bool long_poll, const PlannerTime& time);
   /** Handles a sync that failed or was not answered, and schedules the next
    * one. */
-  void HandleFailedSync(WorkerState& worker, WorkerCallResult result,
-                        const PlannerTime& time);
+  void HandleFailedSync(WorkerState& worker, const SyncRequest& request,
+                        WorkerCallResult result, const PlannerTime& time);
   void SendStops(const PlannerTime& time);
   /** Returns the end of a lease that is granted now, in milliseconds on the
    * worker's clock; nothing while that clock is unknown. */
@@ -304,6 +316,10 @@
    * start again. */
   void DropLostRuns(WorkerState& worker, std::string_view reason,
                     const PlannerTime& time);
+  /** Handles an answer that may come from an earlier incarnation of the worker:
+   * the ends in it count, its numbers and its clock do not. */
+  void HandleFormerIncarnation(WorkerState& worker, const SyncReply& reply,
+                               const PlannerTime& time);
   void HandleReportedRuns(WorkerState& worker, const SyncReply& reply,
                           const PlannerTime& time);
   void HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
@@ -319,6 +335,10 @@
   /** Looks for workers that are about to shut down or whose leases have
    * expired; does nothing if it did so a moment ago. */
   void CheckWorkers(const PlannerTime& time);
+  /** Whether leases that end by `lease_end` at the latest have expired: it is
+   * past, and no later planner can have renewed them before, or learned of ends
+   * that this planner does not know. */
+  bool HasExpired(base::Instant lease_end, base::Instant now) const;
   void DropExpiredWorkers(const PlannerTime& time);
   /** Removes a worker without runs from the planner's state. */
   void RemoveWorker(WorkerState& worker);
@@ -328,6 +348,9 @@
   /** Whether no run of an earlier term can be left on a worker that was not
    * synced in this term. */
   bool CanStartInheritedJobs(base::Instant now) const;
+  /** Decides whether leases may be renewed and tasks be started
+   * (pool_planner.cpp). */
+  void CheckLeadership(base::Instant now);
   /** Stops planning, as another planner has superseded this one
    * (pool_planner.cpp). */
   void EndLeadership(std::string reason);
@@ -337,9 +360,14 @@
    * \param report_age greatest age of that report. */
   void RecordDraining(WorkerState& worker, base::Duration report_age,
                       base::Instant now);
-  /** Whether the runs of a draining worker must be stopped by now, so that
-   * their ends can be read before it shuts down. */
+  /** Whether the runs of a draining worker that cannot end before it shuts down
+   * must be stopped by now, so that their ends can still be read. */
   bool IsAboutToShutDown(const WorkerState& worker, base::Instant now) const;
+  /** Whether a run on a worker that is about to shut down may go on, as it is
+   * expected to end early enough that its end can be read. A run that is
+   * stopped too late to end in time is known not to have succeeded: no run
+   * succeeds after its worker has got the stop. */
+  bool MayEndBeforeShutdown(const RunState& run, base::Instant now) const;
   /** Stops the runs of workers that are about to shut down. */
   void StopRunsBeforeShutdown(const PlannerTime& time);
   /** Returns the duration of a lease that is granted now: not beyond the time
@@ -360,8 +388,15 @@
   void ReleaseRun(RunState& run);
   void RequestStop(RunState& run, base::Instant at);
   void StopGangMembers(StepState& step, RunNumber run, base::Instant now);
+  /** Handles an end of the worker's current incarnation, which is acknowledged
+   * once its effect is stored. */
   void HandleEnd(WorkerState& worker, const ReportedEnd& report,
                  const PlannerTime& time);
+  /** Applies an end to its run and its job.
+   * \return the number of the job's changes that must be stored before the
+   * worker may forget the end; 0 for an unknown job. */
+  uint64_t ApplyEnd(WorkerState& worker, const ReportedEnd& report,
+                    const PlannerTime& time);
   void HandleSuccess(StepState& step, uint32_t index, const PlannerTime& time);
   void HandleFailure(WorkerState& worker, StepState& step,
                      const ReportedEnd& report, const PlannerTime& time);
@@ -464,6 +499,10 @@
   /** Number of ready steps in the last scheduling pass. */
   size_t ready_steps = 0;
   base::Instant term_started_at;
+  /** Latest time by which no other planner had begun its term. */
+  std::optional<base::Instant> leadership_confirmed_at;
+  /** Since when that is too old to renew leases and to start tasks. */
+  std::optional<base::Instant> unconfirmed_since;
   /** When the leases of earlier terms have expired everywhere: runs on workers
    * that no sync of this term reaches have ended by then. */
   base::Instant inherited_runs_expire_at;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -64,6 +64,9 @@
   bool stop_in_flight = false;
   base::Instant next_stop;
   std::optional<base::Instant> stop_confirmed_at;
+  /** Whether an earlier incarnation of the worker may answer the stop request
+   * in flight. */
+  bool stop_outdated = false;
   /** When the worker last confirmed the start, by its answer or in a sync. */
   base::Instant start_confirmed_at;
   ProgressPoint last_progress;
@@ -234,6 +237,10 @@
   int64_t started_at_ms = 0;
   /** Whether its current incarnation has been synced in this term. */
   bool synced = false;
+  /** When its current incarnation became known, if it is not the first one that
+   * this planner knows. Requests sent until then may be answered by an earlier
+   * one. */
+  std::optional<base::Instant> incarnation_changed_at;
   bool sync_in_flight = false;
   /** Whether the planner's queue of syncs to send has it. */
   bool in_sync_queue = false;
@@ -246,6 +253,14 @@
    * end handled. */
   uint64_t last_stored_end = 0;
   uint64_t last_handled_end = 0;
+  /** Sequence number up to which it has confirmed to forget its ends. */
+  uint64_t last_acknowledged_end = 0;
+  /** Whether another incarnation may answer now: since the last answer to a
+   * sync a call was not answered, or its clock went back. Answers to starts and
+   * stops do not tell the incarnation. */
+  bool may_have_restarted = false;
+  /** Whether it may have more ends than its last list of them showed. */
+  bool ends_truncated = false;
   std::deque<UnstoredEnd> unstored_ends;
   /** The worker's clock in milliseconds, as it was at `clock_read_at`. */
   std::optional<int64_t> clock_ms;
@@ -265,6 +280,12 @@
   /** Resources in ticket reservations; gang reservations are not included. */
   platform::Resources reserved_for_tickets;
 
+  /** Whether an earlier incarnation may answer a request sent at this time. */
+  bool MayConcernFormerIncarnation(base::Instant sent_at) const {
+    return this->incarnation_changed_at &&
+           sent_at <= *this->incarnation_changed_at;
+  }
+
   platform::Resources FreeResources() const {
     return this->record.total - this->used - this->reserved_for_tickets;
   }
--- a/src/agatepass/pool/tests/draining_worker_test.cpp
+++ b/src/agatepass/pool/tests/draining_worker_test.cpp
@@ -14,8 +14,12 @@
 
 const TaskName kTask{base::JobId("a"), 0, 0, 0};
 
-/** Runs the cell until the task runs. \return the index of its worker. */
+/** Runs the cell until the task runs. Stops take as long as they may.
+ * \return the index of its worker. */
 size_t RunUntilStarted(PoolCell& cell, size_t worker_count) {
+  for (size_t i = 0; i < worker_count; ++i) {
+    cell.worker(i).stop_duration = PlannerOptions().max_stop_time;
+  }
   while (true) {
     cell.RunFor(milliseconds(1));
     for (size_t i = 0; i < worker_count; ++i) {
@@ -25,7 +29,7 @@
 }
 
 TEST(DrainingWorker, ATaskThatEndsAsItsWorkerShutsDownIsNotStartedAgain) {
-  for (int early_ms = -10; early_ms <= 40; ++early_ms) {
+  for (int early_ms = -10; early_ms <= 600; ++early_ms) {
     PoolCell cell(1, 2);
     cell.Submit(MakePoolJob("a", 1, 5000, seconds(3)));
     const size_t worker = RunUntilStarted(cell, 2);
@@ -72,6 +76,16 @@
   }
 }
 
+TEST(DrainingWorker, ARunThatEndsInTimeIsNotStopped) {
+  PoolCell cell(1, 2);
+  cell.Submit(MakePoolJob("a", 1, 5000, seconds(3)));
+  const size_t worker = RunUntilStarted(cell, 2);
+  cell.DrainWorker(worker, milliseconds(3600));
+  cell.RunFor(seconds(4));
+  EXPECT_EQ(cell.CountStarts(kTask), 1) << cell.TakeLog();
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
 TEST(DrainingWorker, ThatIsCutOffIsNotTakenForShutDown) {
   PoolCell cell(1, 2);
   cell.Submit(MakePoolJob("a", 1, 5000, seconds(9)));
