--- /dev/null
+++ b/src/agatepass/pool/planner_counts.h
@@ -0,0 +1,41 @@
+/** \file
+ * Counters of the planner of a pool, for the metrics.
+ */
+#ifndef AGATEPASS_POOL_PLANNER_COUNTS_H_
+#define AGATEPASS_POOL_PLANNER_COUNTS_H_
+
+#include <cstdint>
+
+namespace agatepass::pool {
+
+/** Counts of one leadership term. */
+struct PlannerCounts {
+  uint64_t accepted = 0;
+  uint64_t rejected = 0;
+  uint64_t starts = 0;
+  /** Starts that the worker did not carry out, or that were not sent. */
+  uint64_t starts_refused = 0;
+  /** Starts that were not answered. */
+  uint64_t starts_outcome_unknown = 0;
+  uint64_t ends = 0;
+  uint64_t failures = 0;
+  /** Times that a worker was lost with its runs, and number of these runs. */
+  uint64_t workers_lost = 0;
+  uint64_t runs_given_up = 0;
+  /** Runs stopped because their worker was about to shut down. */
+  uint64_t runs_stopped_before_shutdown = 0;
+  /** Runs stopped because they stalled. */
+  uint64_t stalled_runs_stopped = 0;
+  /** Runs stopped to free capacity for gangs of queues with a higher priority.
+   */
+  uint64_t runs_preempted = 0;
+  uint64_t advice_queries = 0;
+  uint64_t commits = 0;
+  /** Times that a worker was considered for a step or in admission: the part
+   * of the planner's work that grows with the pool. */
+  uint64_t workers_examined = 0;
+};
+
+}  // namespace agatepass::pool
+
+#endif  // AGATEPASS_POOL_PLANNER_COUNTS_H_
--- /dev/null
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -0,0 +1,264 @@
+// Syncs with workers: when they are sent, and what the answers tell of runs.
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "agatepass/pool/pool_planner.h"
+
+namespace agatepass::pool {
+
+void PoolPlanner::QueueSync(WorkerState& worker) {
+  if (std::exchange(worker.in_sync_queue, true)) return;
+  this->sync_queue.push_back(&worker);
+}
+
+void PoolPlanner::SendSyncs(const PlannerTime& time) {
+  std::vector<WorkerState*> queued;
+  queued.swap(this->sync_queue);
+  for (WorkerState* worker : queued) {
+    worker->in_sync_queue = false;
+    if (!worker->sync_in_flight && time.now >= worker->next_sync) {
+      // No long poll while ends are not stored: the worker lists them already
+      // and would answer immediately.
+      const bool long_poll = worker->synced && worker->unstored_ends.empty() &&
+                             worker->unanswered_calls == 0;
+      worker->sync_in_flight = true;
+      worker->quick_sync_wanted = worker->quick_sync_wanted && long_poll;
+      this->SendSync(*worker, long_poll, time);
+    }
+    if (worker->quick_sync_wanted && !worker->quick_sync_in_flight) {
+      worker->quick_sync_wanted = false;
+      worker->quick_sync_in_flight = true;
+      this->SendSync(*worker, false, time);
+    }
+    if (!worker->sync_in_flight || worker->quick_sync_wanted) {
+      this->QueueSync(*worker);
+    }
+  }
+}
+
+void PoolPlanner::SendSync(WorkerState& worker, bool long_poll,
+                           const PlannerTime& time) {
+  SyncRequest request{.worker = worker.record.worker,
+                      .endpoint = worker.record.endpoint,
+                      .fence = this->options.fence,
+                      .sent_at = time.now};
+  // Another incarnation may answer, whose ends have not been read. An
+  // acknowledgement that was answered is not repeated, as a sync that a restart
+  // cuts off may be carried out by the next incarnation.
+  if (!worker.may_have_restarted &&
+      worker.last_stored_end > worker.last_acknowledged_end) {
+    request.acknowledged_up_to = worker.last_stored_end;
+  }
+  // The lease of a worker that does not answer is not renewed, so that it
+  // expires and its runs provably end; nor is any lease while this planner may
+  // be superseded.
+  if (worker.unanswered_calls == 0 && !this->unconfirmed_since) {
+    request.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
+  }
+  if (long_poll) {
+    request.max_wait = worker.runs.empty() ? this->options.idle_sync_wait
+                                           : this->options.sync_wait;
+  }
+  if (request.lease_until_ms) this->RecordLease(worker, time.now);
+  this->effects.push_back(std::move(request));
+}
+
+void PoolPlanner::HandleFailedSync(WorkerState& worker,
+                                   const SyncRequest& request,
+                                   WorkerCallResult result,
+                                   const PlannerTime& time) {
+  if (result == WorkerCallResult::kOtherIncarnation &&
+      !worker.MayConcernFormerIncarnation(request.sent_at)) {
+    this->EndIncarnation(worker, time);
+  } else {
+    this->RecordUnansweredCall(worker, time);
+  }
+  worker.next_sync = time.now + this->options.sync_retry_delay;
+}
+
+void PoolPlanner::OnSync(const SyncRequest& request, const SyncReply& reply,
+                         const PlannerTime& time) {
+  if (reply.result == WorkerCallResult::kFenced) {
+    this->EndLeadership("a worker has seen a higher fence");
+    return;
+  }
+  const auto found = this->workers.find(request.worker);
+  if (found == this->workers.end()) return;
+  WorkerState& worker = *found->second;
+  const bool quick =
+      request.max_wait.count() == 0 && worker.quick_sync_in_flight;
+  (quick ? worker.quick_sync_in_flight : worker.sync_in_flight) = false;
+  this->QueueSync(worker);
+  if (reply.result != WorkerCallResult::kDone) {
+    this->HandleFailedSync(worker, request, reply.result, time);
+    return;
+  }
+  const bool may_be_former =
+      worker.MayConcernFormerIncarnation(request.sent_at);
+  if (reply.started_at_ms != worker.started_at_ms) {
+    if (may_be_former) {
+      this->HandleFormerIncarnation(worker, reply, time);
+      return;
+    }
+    if (worker.started_at_ms != 0) this->ForgetIncarnation(worker, time);
+    worker.started_at_ms = reply.started_at_ms;
+  } else if (!may_be_former) {
+    worker.last_acknowledged_end =
+        std::max(worker.last_acknowledged_end, request.acknowledged_up_to);
+  }
+  this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
+  worker.may_have_restarted = false;
+  if (!std::exchange(worker.synced, true)) {
+    // The fence of this sync ends renewals by earlier planners.
+    worker.lease_expires_at =
+        std::min(worker.lease_expires_at,
+                 time.now + this->OnSlowestClock(this->options.worker_lease));
+    this->log.Add(time.now, "worker synced", "worker={} running={} ended={}",
+                  request.worker.value, reply.running.size(),
+                  reply.ended.size());
+  }
+  for (const ReportedEnd& report : reply.ended) {
+    if (report.sequence_number > worker.last_handled_end)
+      this->HandleEnd(worker, report, time);
+  }
+  if (!worker.unstored_ends.empty()) {
+    // Ends that change nothing need no commit before they are acknowledged.
+    this->AcknowledgeStoredEnds(worker, time);
+    if (worker.unstored_ends.empty())
+      std::erase(this->workers_with_unstored_ends, &worker);
+  }
+  this->HandleReportedRuns(worker, reply, time);
+  worker.ends_truncated = reply.ends_truncated;
+  if (!worker.ends_truncated) {
+    this->HandleMissingRuns(worker, request.sent_at, reply, time);
+    this->unsynced_workers.erase(request.worker);
+  }
+  worker.next_sync = time.now;
+  if (!worker.unstored_ends.empty()) {
+    worker.next_sync += this->IsAboutToShutDown(worker, time.now)
+                            ? this->options.syncs_before_shutdown_delay
+                            : this->options.sync_retry_delay;
+  }
+  this->scheduling_needed = true;
+}
+
+void PoolPlanner::HandleFormerIncarnation(WorkerState& worker,
+                                          const SyncReply& reply,
+                                          const PlannerTime& time) {
+  this->log.Add(time.now, "late answer of another worker incarnation",
+                "worker={} started_at_ms={} ended={}",
+                worker.record.worker.value, reply.started_at_ms,
+                reply.ended.size());
+  for (const ReportedEnd& report : reply.ended) {
+    this->ApplyEnd(worker, report, time);
+  }
+  worker.next_sync = time.now;
+  this->scheduling_needed = true;
+}
+
+void PoolPlanner::HandleReportedRuns(WorkerState& worker,
+                                     const SyncReply& reply,
+                                     const PlannerTime& time) {
+  for (const ReportedRun& report : reply.running) {
+    RunState* run = this->FindRun(report.task, report.run);
+    if (run == nullptr) {
+      this->HandleUntrackedRun(worker, report, time);
+      continue;
+    }
+    if (run->worker != &worker) {
+      this->StopDuplicateRun(worker, report, time);
+      continue;
+    }
+    if (run->phase == RunPhase::kStartRequested) {
+      run->phase = RunPhase::kRunning;
+      run->start_confirmed_at = time.now;
+    }
+    this->CheckProgress(*run, report.percent, time);
+    if (run->step != nullptr && !report.checkpoint.empty()) {
+      run->step->tasks[report.task.index].checkpoint = report.checkpoint;
+    }
+  }
+}
+
+void PoolPlanner::HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
+                                    const SyncReply& reply,
+                                    const PlannerTime& time) {
+  std::set<RunKey> reported;
+  for (const ReportedRun& report : reply.running) {
+    reported.emplace(report.task, report.run);
+  }
+  std::vector<RunState*> missing;
+  for (RunState* run : worker.runs) {
+    if (reported.contains({run->task, run->run_number})) continue;
+    const bool stopped =
+        run->stop_confirmed_at && *run->stop_confirmed_at < sent_at;
+    const bool vanished =
+        run->phase == RunPhase::kRunning && run->start_confirmed_at < sent_at;
+    if (stopped || vanished) missing.push_back(run);
+  }
+  for (RunState* run : missing) {
+    this->log.Add(time.now, "run absent from worker",
+                  "task={} run={} worker={} phase={}", ToString(run->task),
+                  run->run_number, worker.record.worker.value,
+                  static_cast<int>(run->phase));
+    this->HandleAbsentRun(*run, time.now, time);
+  }
+}
+
+void PoolPlanner::StopDuplicateRun(WorkerState& worker,
+                                   const ReportedRun& report,
+                                   const PlannerTime& time) {
+  this->log.Add(time.now, "run reported by two workers",
+                "task={} run={} worker={}", ToString(report.task), report.run,
+                worker.record.worker.value);
+  // The run's resources are not counted as used, so nothing may start beside
+  // it.
+  worker.quarantined_until = time.now + this->options.quarantine_time;
+  this->effects.push_back(StopRequest{.worker = worker.record.worker,
+                                      .endpoint = worker.record.endpoint,
+                                      .task = report.task,
+                                      .run = report.run,
+                                      .fence = this->options.fence});
+}
+
+void PoolPlanner::HandleUntrackedRun(WorkerState& worker,
+                                     const ReportedRun& report,
+                                     const PlannerTime& time) {
+  StepState* step = this->FindStep(report.task);
+  const bool needed = step != nullptr && step->job->IsOpen() &&
+                      step->job->inherited &&
+                      !step->tasks[report.task.index].succeeded &&
+                      step->tasks[report.task.index].current_run == nullptr;
+  // A run of an unknown job may use any resources: all of the worker counts as
+  // used until the run has ended.
+  const platform::Resources need =
+      step == nullptr ? worker.record.total : step->definition->need;
+  RunState& run = this->AddRun(report.task, report.run, worker,
+                               needed ? step : nullptr, need);
+  run.phase = RunPhase::kRunning;
+  run.start_requested_at = time.now;
+  run.start_confirmed_at = time.now;
+  run.last_progress = {report.percent, time.now};
+  // Whoever started it granted no longer lease.
+  worker.lease_expires_at =
+      std::max(worker.lease_expires_at,
+               time.now + this->OnSlowestClock(this->options.worker_lease));
+  this->log.Add(time.now,
+                needed ? "run of earlier term continued" : "run not needed",
+                "task={} run={} worker={} percent={}", ToString(report.task),
+                report.run, worker.record.worker.value, report.percent);
+  if (!needed) {
+    this->RequestStop(run, time.now);
+    return;
+  }
+  run.expected_end = time.now + step->definition->estimate;
+  if (!report.checkpoint.empty())
+    step->tasks[report.task.index].checkpoint = report.checkpoint;
+  if (step->job->phase == JobPhase::kQueued) {
+    step->job->phase = JobPhase::kRunning;
+  }
+}
+
+}  // namespace agatepass::pool
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -24,6 +24,7 @@
 #include "agatepass/pool/advice_choice.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
+#include "agatepass/pool/planner_counts.h"
 #include "agatepass/pool/planner_options.h"
 #include "agatepass/pool/pool_state.h"
 #include "agatepass/pool/queue_table.h"
@@ -56,34 +57,6 @@
   int64_t wall_ms = 0;
 };
 
-/** Counters for the metrics. */
-struct PlannerCounts {
-  uint64_t accepted = 0;
-  uint64_t rejected = 0;
-  uint64_t starts = 0;
-  /** Starts that the worker did not carry out, or that were not sent. */
-  uint64_t starts_refused = 0;
-  /** Starts that were not answered. */
-  uint64_t starts_outcome_unknown = 0;
-  uint64_t ends = 0;
-  uint64_t failures = 0;
-  /** Times that a worker was lost with its runs, and number of these runs. */
-  uint64_t workers_lost = 0;
-  uint64_t runs_given_up = 0;
-  /** Runs stopped because their worker was about to shut down. */
-  uint64_t runs_stopped_before_shutdown = 0;
-  /** Runs stopped because they stalled. */
-  uint64_t stalled_runs_stopped = 0;
-  /** Runs stopped to free capacity for gangs of queues with a higher priority.
-   */
-  uint64_t runs_preempted = 0;
-  uint64_t advice_queries = 0;
-  uint64_t commits = 0;
-  /** Times that a worker was considered for a step or in admission: the part
-   * of the planner's work that grows with the pool. */
-  uint64_t workers_examined = 0;
-};
-
 /** Plans one pool of workers for one leadership term.
  *
  * Inputs change its state; Advance returns the effects to carry out. The
@@ -289,7 +262,7 @@
   void RemoveExpiredJobs(const PlannerTime& time);
   void AnswerSubmitsOfUnknownOutcome(const PlannerTime& time);
 
-  // planner_workers.cpp
+  // planner_syncs.cpp
   void SendSyncs(const PlannerTime& time);
   void QueueSync(WorkerState& worker);
   void SendSync(WorkerState& worker, bool long_poll, const PlannerTime& time);
@@ -297,6 +270,24 @@
    * one. */
   void HandleFailedSync(WorkerState& worker, const SyncRequest& request,
                         WorkerCallResult result, const PlannerTime& time);
+  /** Handles an answer that may come from an earlier incarnation of the worker:
+   * the ends in it count, its numbers and its clock do not. */
+  void HandleFormerIncarnation(WorkerState& worker, const SyncReply& reply,
+                               const PlannerTime& time);
+  void HandleReportedRuns(WorkerState& worker, const SyncReply& reply,
+                          const PlannerTime& time);
+  void HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
+                         const SyncReply& reply, const PlannerTime& time);
+  /** Stops a run that another worker has too. The run is not tracked on this
+   * worker. */
+  void StopDuplicateRun(WorkerState& worker, const ReportedRun& report,
+                        const PlannerTime& time);
+  /** Tracks a reported run that this planner did not order, and stops it if no
+   * job needs it. */
+  void HandleUntrackedRun(WorkerState& worker, const ReportedRun& report,
+                          const PlannerTime& time);
+
+  // planner_workers.cpp
   void SendStops(const PlannerTime& time);
   /** Returns the end of a lease that is granted now, in milliseconds on the
    * worker's clock; nothing while that clock is unknown. */
@@ -316,22 +307,6 @@
    * start again. */
   void DropLostRuns(WorkerState& worker, std::string_view reason,
                     const PlannerTime& time);
-  /** Handles an answer that may come from an earlier incarnation of the worker:
-   * the ends in it count, its numbers and its clock do not. */
-  void HandleFormerIncarnation(WorkerState& worker, const SyncReply& reply,
-                               const PlannerTime& time);
-  void HandleReportedRuns(WorkerState& worker, const SyncReply& reply,
-                          const PlannerTime& time);
-  void HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
-                         const SyncReply& reply, const PlannerTime& time);
-  /** Stops a run that another worker has too. The run is not tracked on this
-   * worker. */
-  void StopDuplicateRun(WorkerState& worker, const ReportedRun& report,
-                        const PlannerTime& time);
-  /** Tracks a reported run that this planner did not order, and stops it if no
-   * job needs it. */
-  void HandleUntrackedRun(WorkerState& worker, const ReportedRun& report,
-                          const PlannerTime& time);
   /** Looks for workers that are about to shut down or whose leases have
    * expired; does nothing if it did so a moment ago. */
   void CheckWorkers(const PlannerTime& time);
