Reject released starts on the next incarnation of a worker

A start without an answer is stopped, and once the sync shows the run absent its task is started again. If the worker then starts again under its id, the late start is carried out by the new incarnation, which has seen no stop: the task runs beside its later run, or after that one has succeeded.

The planner keeps the starts without an answer of the last 15 s of each worker, and stops these runs on its next incarnation as soon as it knows of it.

--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -12,6 +12,9 @@
  */
 constexpr base::Duration kRestartDelay = std::chrono::milliseconds(20);
 
+/** Time within which a start without an answer may be carried out late. */
+constexpr base::Duration kMaxStartDelay = std::chrono::seconds(15);
+
 }  // namespace
 
 RunState& PoolPlanner::AddRun(const TaskName& task, RunNumber number,
@@ -247,6 +250,11 @@
   if (reply.result == WorkerCallResult::kUnknown) {
     ++this->totals.starts_outcome_unknown;
     this->RecordUnansweredCall(worker, time);
+    std::erase_if(worker.unanswered_starts,
+                  [&time](const UnansweredStart& start) {
+                    return start.sent_at + kMaxStartDelay < time.now;
+                  });
+    worker.unanswered_starts.push_back({task, number, run->start_requested_at});
     // The stop makes the worker reject the start if it arrives later.
     this->RequestStop(*run, time.now);
     if (run->step != nullptr && run->step->definition->gang) {
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -196,6 +196,14 @@
       run->next_stop = time.now;
     }
   }
+  for (const UnansweredStart& start : worker.unanswered_starts) {
+    if (this->FindRun(start.task, start.run) != nullptr) continue;
+    this->effects.push_back(StopRequest{.worker = worker.record.worker,
+                                        .endpoint = worker.record.endpoint,
+                                        .task = start.task,
+                                        .run = start.run,
+                                        .fence = this->options.fence});
+  }
 }
 
 void PoolPlanner::EndIncarnation(WorkerState& worker, const PlannerTime& time) {
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -219,6 +219,13 @@
   std::vector<WorkerState*> workers;
 };
 
+/** A start without an answer, which may be carried out late. */
+struct UnansweredStart {
+  TaskName task;
+  RunNumber run = 0;
+  base::Instant sent_at;
+};
+
 /** A worker, with the state of its current incarnation. */
 struct WorkerState {
   WorkerRecord record;
@@ -262,6 +269,8 @@
   /** Whether it may have more ends than its last list of them showed. */
   bool ends_truncated = false;
   std::deque<UnstoredEnd> unstored_ends;
+  /** Starts that its next incarnation may carry out, of all incarnations. */
+  std::deque<UnansweredStart> unanswered_starts;
   /** The worker's clock in milliseconds, as it was at `clock_read_at`. */
   std::optional<int64_t> clock_ms;
   base::Instant clock_read_at;
--- a/src/agatepass/pool/tests/confirmed_stop_test.cpp
+++ b/src/agatepass/pool/tests/confirmed_stop_test.cpp
@@ -78,5 +78,19 @@
   EXPECT_EQ(this->starts.size(), 1U);
 }
 
+TEST_F(ConfirmedStop, IsRepeatedOnTheNextIncarnationAfterTheTaskIsFree) {
+  this->StartWithoutAnswer();
+  this->ConfirmStop();
+  this->AnswerSyncsOfW0(1);
+  ASSERT_EQ(this->starts.size(), 1U);
+  this->stops.clear();
+  // The start of run 1 may be carried out beside run 2.
+  this->AnswerSyncsOfW0(2);
+  ASSERT_EQ(this->stops.size(), 1U);
+  EXPECT_EQ(this->stops.front().worker, base::WorkerId("w0"));
+  EXPECT_EQ(this->stops.front().task, this->task);
+  EXPECT_EQ(this->stops.front().run, 1U);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
