Mend three findings of the linter in tests and stand-ins

A value that could not be moved, and two unused results. No check changes: the test now also expects that its server's address can be bound.

--- a/fakes/pool_worker.cpp
+++ b/fakes/pool_worker.cpp
@@ -174,7 +174,7 @@
     base::Instant now, int64_t started_at_ms) {
   this->Advance(now);
   this->DropAcknowledgedEnds(this->last_sequence_number);
-  const auto lost_runs = this->GetRuns();
+  auto lost_runs = this->GetRuns();
   this->Crash(started_at_ms);
   return lost_runs;
 }
--- a/src/agatepass/base/tests/http_closing_server_test.cpp
+++ b/src/agatepass/base/tests/http_closing_server_test.cpp
@@ -29,7 +29,8 @@
       : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
     this->address.sin_family = AF_INET;
     this->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(this->descriptor, this->raw_address(), sizeof(this->address));
+    EXPECT_EQ(
+        bind(this->descriptor, this->raw_address(), sizeof(this->address)), 0);
     socklen_t size = sizeof(this->address);
     getsockname(this->descriptor, this->raw_address(), &size);
     listen(this->descriptor, backlog);
@@ -127,7 +128,9 @@
   std::vector<int> queued;
   for (int i = 0; i < 2; ++i) {
     queued.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-    connect(queued.back(), server.raw_address(), sizeof(server.address));
+    // It goes on in the background.
+    static_cast<void>(
+        connect(queued.back(), server.raw_address(), sizeof(server.address)));
   }
   std::optional<HttpOutcome> silent;
   this->client.Send(server.endpoint(), {.path = "/"}, milliseconds(100),
