Log how long the runs of a lost worker had run

The log named the runs that were lost with a worker, but nothing by which a crash can be told from a worker that was cut off, or the task that caused it from its neighbours. A run now records for how long its worker is known to have lived on after the start, by the worker's clock; 'run given up', 'runs lost', 'run absent from worker' and 'worker unresponsive' name that, the time from the start to the silence, and how many workers fell silent at the same time.

--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -239,6 +239,8 @@
     if (run->phase == RunPhase::kStartRequested)
       run->phase = RunPhase::kRunning;
     run->start_confirmed_at = time.now;
+    if (!may_be_former && !run->confirmed_clock_ms)
+      run->confirmed_clock_ms = reply.worker_clock_ms;
     return;
   }
   if (run->phase == RunPhase::kRunning) return;
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -175,6 +175,9 @@
       run->phase = RunPhase::kRunning;
       run->start_confirmed_at = time.now;
     }
+    if (!run->confirmed_clock_ms)
+      run->confirmed_clock_ms = reply.worker_clock_ms;
+    run->worker_restarted = false;
     this->CheckProgress(*run, report.percent, time);
     if (run->step != nullptr && !report.checkpoint.empty()) {
       run->step->tasks[report.task.index].checkpoint = report.checkpoint;
@@ -200,9 +203,11 @@
   }
   for (RunState* run : missing) {
     this->log.Add(time.now, "run absent from worker",
-                  "task={} run={} worker={} phase={}", ToString(run->task),
-                  run->run_number, worker.record.worker.value,
-                  static_cast<int>(run->phase));
+                  "task={} run={} worker={} phase={} worker_restarted={} "
+                  "survived_ms={}",
+                  ToString(run->task), run->run_number,
+                  worker.record.worker.value, static_cast<int>(run->phase),
+                  run->worker_restarted, base::ToMilliseconds(run->survived));
     this->HandleAbsentRun(*run, time.now, time);
   }
 }
@@ -240,6 +245,7 @@
   run.phase = RunPhase::kRunning;
   run.start_requested_at = time.now;
   run.start_confirmed_at = time.now;
+  run.confirmed_clock_ms = worker.clock_ms;
   run.last_progress = {report.percent, time.now};
   // Whoever started it granted no longer lease.
   worker.lease_expires_at =
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -100,6 +100,8 @@
   worker.clock_read_at = now;
   worker.last_answer_at = now;
   worker.unanswered_calls = 0;
+  worker.silent_since.reset();
+  RecordSurvival(worker, clock_ms);
 }
 
 void PoolPlanner::RecordLease(WorkerState& worker, base::Instant now) {
@@ -166,10 +168,13 @@
   ++worker.unanswered_calls;
   worker.may_have_restarted = true;
   worker.quarantined_until = time.now + this->options.quarantine_time;
+  this->RecordSilence(worker, time.now);
   if (worker.unanswered_calls == kUnansweredCallsToLog) {
     this->log.Add(time.now, "worker unresponsive",
-                  "worker={} last_answer_ms={}", worker.record.worker.value,
-                  base::ToMilliseconds(time.now - worker.last_answer_at));
+                  "worker={} last_answer_ms={} runs={} unproven_runs={}",
+                  worker.record.worker.value,
+                  base::ToMilliseconds(time.now - worker.last_answer_at),
+                  worker.runs.size(), CountUnprovenRuns(worker));
   }
 }
 
@@ -177,6 +182,7 @@
                                     const PlannerTime& time) {
   this->log.Add(time.now, "worker incarnation changed", "worker={} runs={}",
                 worker.record.worker.value, worker.runs.size());
+  this->RecordSilence(worker, time.now);
   worker.synced = false;
   worker.may_have_restarted = true;
   worker.incarnation_changed_at = time.now;
@@ -189,6 +195,8 @@
   worker.started_at_ms = 0;
   worker.next_sync = time.now;
   for (RunState* run : worker.runs) {
+    run->worker_restarted = true;
+    run->confirmed_clock_ms.reset();
     // The new incarnation may still get the start, and has seen no stop.
     if (run->stop_in_flight) run->stop_outdated = true;
     if (run->stop_confirmed_at && run->start_confirmed_at == base::Instant()) {
@@ -219,17 +227,25 @@
   if (worker.runs.empty()) return;
   ++this->totals.workers_lost;
   this->totals.runs_given_up += worker.runs.size();
-  this->log.Add(time.now, "runs lost", "worker={} runs={} reason=\"{}\"",
-                worker.record.worker.value, worker.runs.size(), reason);
+  this->log.Add(
+      time.now, "runs lost",
+      "worker={} runs={} unproven_runs={} silent_ms={} "
+      "also_silent={} reason=\"{}\"",
+      worker.record.worker.value, worker.runs.size(), CountUnprovenRuns(worker),
+      base::ToMilliseconds(time.now - worker.silent_since.value_or(time.now)),
+      this->CountSilentAtSameTime(worker), reason);
   const std::vector<RunState*> lost = worker.runs;
   for (RunState* run : lost) {
     this->log.Add(time.now, "run given up",
                   "task={} run={} worker={} phase={} percent={} "
-                  "last_answer_ms={}",
+                  "last_answer_ms={} run_ms={} survived_ms={}",
                   ToString(run->task), run->run_number,
                   worker.record.worker.value, static_cast<int>(run->phase),
                   run->last_progress.percent,
-                  base::ToMilliseconds(time.now - worker.last_answer_at));
+                  base::ToMilliseconds(time.now - worker.last_answer_at),
+                  base::ToMilliseconds(worker.silent_since.value_or(time.now) -
+                                       run->start_requested_at),
+                  base::ToMilliseconds(run->survived));
     this->HandleAbsentRun(*run, time.now, time);
   }
 }
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -22,6 +22,7 @@
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/pool/advice_choice.h"
+#include "agatepass/pool/crash_evidence.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
 #include "agatepass/pool/planner_counts.h"
@@ -330,6 +331,13 @@
    * (pool_planner.cpp). */
   void EndLeadership(std::string reason);
 
+  // planner_crashes.cpp
+  /** Notes that the worker does not answer, or not any more as the same
+   * incarnation, unless that is known already. */
+  void RecordSilence(WorkerState& worker, base::Instant now);
+  /** Returns the number of other workers that fell silent at the same time. */
+  size_t CountSilentAtSameTime(const WorkerState& worker) const;
+
   // planner_draining.cpp
   /** Records when the worker may shut down, from its latest report.
    * \param report_age greatest age of that report. */
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -69,6 +69,13 @@
   bool stop_outdated = false;
   /** When the worker last confirmed the start, by its answer or in a sync. */
   base::Instant start_confirmed_at;
+  /** The worker's clock in milliseconds when it first confirmed the start. */
+  std::optional<int64_t> confirmed_clock_ms;
+  /** How long its worker is known to have lived on after the start, by the
+   * worker's clock: at least this long. */
+  base::Duration survived{0};
+  /** Whether the worker has restarted since the start request. */
+  bool worker_restarted = false;
   ProgressPoint last_progress;
 };
 
@@ -279,6 +286,8 @@
   base::Instant lease_expires_at;
   base::Instant last_answer_at;
   uint32_t unanswered_calls = 0;
+  /** When it was first noticed not to answer; unset while it answers. */
+  std::optional<base::Instant> silent_since;
   /** Failed runs since the last successful run or quarantine for failures. */
   uint32_t consecutive_failures = 0;
   base::Instant quarantined_until;
