Show in tests that a task that crashes its workers is started without end

What callers saw: BUDGET, and neighbours that are lost with worker after worker.

The stand-in has tasks that crash their worker 10 ms after each start and counts the starts after three crashes, the runs lost with workers, and jobs shown as failed that no task of theirs explains.

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -13,8 +13,6 @@
 /** Unix time at virtual time 0. */
 constexpr int64_t kUnixMsAtTimeZero = 1'700'000'000'000;
 constexpr base::Duration kOneWayLatency = std::chrono::milliseconds(5);
-/** Time from a worker's crash until it is reachable again. */
-constexpr base::Duration kRestartDuration = std::chrono::milliseconds(400);
 constexpr base::Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr base::Duration kRequestTimeout = std::chrono::milliseconds(900);
 /** Time until a sync to an unreachable worker fails. */
@@ -158,9 +156,10 @@
 void PoolCell::CrashAndRestartWorker(size_t index) {
   PoolWorker& worker = *this->workers[index];
   const auto lost_runs = worker.GetRuns();
+  this->lost_run_count += static_cast<int>(lost_runs.size());
   worker.Crash(worker.record.started_at_ms + 1);
   this->restarting_workers.insert(worker.record.worker);
-  this->Schedule(kRestartDuration, [this, id = worker.record.worker] {
+  this->Schedule(this->restart_duration, [this, id = worker.record.worker] {
     this->restarting_workers.erase(id);
   });
   this->EndLostRuns(worker, lost_runs);
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -97,6 +97,13 @@
    * attempts of its first queue to all jobs. */
   pool::QueueTable queues;
   PoolFaults faults;
+  /** Tasks of which each start crashes its worker, kCrashDelay later. */
+  std::set<pool::TaskName> crashing_tasks;
+  /** Time from a worker's crash until it is reachable again, as a new
+   * incarnation. */
+  base::Duration restart_duration = std::chrono::milliseconds(400);
+  /** Time from the start of a crashing task to the crash. */
+  static constexpr base::Duration kCrashDelay = std::chrono::milliseconds(10);
 
   /** Invariants that were violated, each listed once. */
   const std::vector<std::string>& violations() const {
@@ -121,6 +128,13 @@
   /** Number of runs of a task that started, over all workers. */
   int CountStarts(const pool::TaskName& task) const;
 
+  /** Number of runs that were lost because their worker crashed. */
+  int lost_runs() const { return this->lost_run_count; }
+
+  /** Stored jobs that are shown as failed although none of their tasks always
+   * fails or has crashed two workers. */
+  std::vector<base::JobId> JobsFailedWithoutCause() const;
+
   /** Returns and clears the planners' log, for a failing test's message. */
   std::string TakeLog();
 
@@ -196,6 +210,10 @@
    * was not started again after a success or after its last attempt. */
   void OnEndAcknowledged(const pool::ReportedEnd& report,
                          base::Instant ended_at);
+  /** Lets a crashing task crash its worker soon, and checks that it is not
+   * started too often. */
+  void OnCrashingTaskStarted(const PoolWorker& worker,
+                             const pool::StartRequest& request);
   void ReportViolation(const std::string& violation);
 
   std::mt19937_64 random;
@@ -228,6 +246,11 @@
   std::map<base::JobId, pool::Job> submitted;
   std::map<base::JobId, std::vector<base::ResultCode>> answers;
   std::map<pool::TaskName, int> start_counts;
+  /** Workers that each crashing task has crashed, and its starts since it had
+   * crashed three. */
+  std::map<pool::TaskName, int> crash_counts;
+  std::map<pool::TaskName, int> starts_after_three_crashes;
+  int lost_run_count = 0;
   std::map<pool::TaskName, base::Instant> last_started_at;
   /** Tasks with a successful run, whether or not a planner knows of it. */
   std::set<pool::TaskName> succeeded_tasks;
--- a/fakes/pool_cell_checks.cpp
+++ b/fakes/pool_cell_checks.cpp
@@ -5,6 +5,18 @@
 
 namespace agatepass::fakes {
 
+namespace {
+
+/** A task that has crashed this many workers may be started this many times
+ * more. */
+constexpr int kCrashesBeforeLimit = 3;
+constexpr int kMaxStartsAfterwards = 2;
+
+/** A job may be shown as failed if a task has crashed this many workers. */
+constexpr int kMinCrashes = 2;
+
+}  // namespace
+
 RunBehaviour PoolCell::DecideRunBehaviour(const pool::TaskName& task,
                                           pool::RunNumber run) {
   const pool::Job& job = this->submitted.at(task.job);
@@ -20,6 +32,43 @@
   return behaviour;
 }
 
+void PoolCell::OnCrashingTaskStarted(const PoolWorker& worker,
+                                     const pool::StartRequest& request) {
+  const pool::TaskName& task = request.task;
+  if (this->crash_counts[task] >= kCrashesBeforeLimit &&
+      ++this->starts_after_three_crashes[task] > kMaxStartsAfterwards) {
+    this->ReportViolation(ToString(task) +
+                          " was started three times more after three workers "
+                          "had crashed under it");
+  }
+  for (size_t i = 0; i < this->workers.size(); ++i) {
+    if (this->workers[i].get() != &worker) continue;
+    this->Schedule(kCrashDelay, [this, i, task, run = request.run] {
+      const auto runs = this->workers[i]->GetRuns();
+      const auto found = runs.find(task);
+      if (found == runs.end() || found->second != run) return;
+      ++this->crash_counts[task];
+      this->CrashAndRestartWorker(i);
+    });
+  }
+}
+
+std::vector<base::JobId> PoolCell::JobsFailedWithoutCause() const {
+  std::vector<base::JobId> failed;
+  for (const auto& [id, job] : this->submitted) {
+    if (!this->IsStored(id)) continue;
+    if (this->StoredPhase(id) != pool::JobPhase::kFailed) continue;
+    if (job.payload == "always-fails") continue;
+    const bool crashes = std::any_of(
+        this->crash_counts.begin(), this->crash_counts.end(),
+        [&id = id](const auto& entry) {
+          return entry.first.job == id && entry.second >= kMinCrashes;
+        });
+    if (!crashes) failed.push_back(id);
+  }
+  return failed;
+}
+
 bool PoolCell::IsGangComplete(const pool::TaskName& task,
                               pool::RunNumber run) const {
   const pool::Step& step = this->submitted.at(task.job).steps[task.step];
@@ -49,6 +98,9 @@
   const std::string name = ToString(request.task);
   ++this->start_counts[request.task];
   this->last_started_at[request.task] = this->current_time;
+  if (this->crashing_tasks.contains(request.task)) {
+    this->OnCrashingTaskStarted(worker, request);
+  }
   for (const auto& other_worker : this->workers) {
     if (other_worker.get() != &worker &&
         other_worker->IsRunning(request.task)) {
