Give up a task that crashes its workers, after trials that harm few others

Cause: a run that is lost with its worker left nothing in its task. Only ends that a worker lists count as attempts, and a crash lists none; a takeover forgot the run's number too.

When a worker falls silent, its unproven runs are written to the store as at risk; when it proves to have restarted (or its lease ends), each becomes a crash in the task's progress, with whether anything else explains it: another job's unproven run, or workers without such runs that fell silent in the same quarter of a second (rack, power cut, cut network). - A task with a crash is a suspect. It is started on one worker at a time, where least work is at risk and nothing else is unproven, and nothing else starts there until the worker has outlived it, which clears the task.

--- a/src/agatepass/pool/crash_evidence.cpp
+++ b/src/agatepass/pool/crash_evidence.cpp
@@ -1,15 +1,28 @@
 #include "agatepass/pool/crash_evidence.h"
 
 #include <algorithm>
+#include <set>
 
 namespace agatepass::pool {
 
-bool IsUnproven(const RunState& run) { return run.survived < kProbation; }
+base::Duration ProbationOf(const RunState& run) {
+  if (run.step == nullptr) return kProbation;
+  return FindProbation(run.step->tasks[run.task.index].crashed_runs);
+}
+
+bool IsUnproven(const RunState& run) { return run.survived < ProbationOf(run); }
+
+size_t CountUnprovenJobs(const WorkerState& worker) {
+  std::set<base::JobId> jobs;
+  for (const RunState* run : worker.runs) {
+    if (IsUnproven(*run)) jobs.insert(run->task.job);
+  }
+  return jobs.size();
+}
 
-size_t CountUnprovenRuns(const WorkerState& worker) {
-  return static_cast<size_t>(
-      std::count_if(worker.runs.begin(), worker.runs.end(),
-                    [](const RunState* run) { return IsUnproven(*run); }));
+bool HasUnprovenRuns(const WorkerState& worker) {
+  return std::any_of(worker.runs.begin(), worker.runs.end(),
+                     [](const RunState* run) { return IsUnproven(*run); });
 }
 
 void RecordSurvival(WorkerState& worker, int64_t clock_ms) {
@@ -21,4 +34,17 @@
   }
 }
 
+double WorkAtRisk(const WorkerState& worker, base::Instant now) {
+  double work = 0;
+  for (const RunState* run : worker.runs) {
+    if (run->phase == RunPhase::kStopping) continue;
+    const bool is_gang = run->step != nullptr && run->step->definition->gang;
+    const double members =
+        is_gang ? static_cast<double>(run->step->tasks.size()) : 1;
+    work += static_cast<double>(run->need.millicores) * members *
+            base::ToSeconds(now - run->start_requested_at);
+  }
+  return work;
+}
+
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/crash_evidence.h
+++ b/src/agatepass/pool/crash_evidence.h
@@ -1,9 +1,6 @@
 /** \file
- * What the loss of a worker tells about the runs that it had.
- *
- * A task that crashes workers does so soon after its start. A run that its
- * worker has outlived for a while is proven harmless; the others are suspects
- * if the worker is lost.
+ * What the loss of a worker tells about the runs that it had: which of them
+ * may be the cause, and how much it would cost to lose a worker.
  */
 #ifndef AGATEPASS_POOL_CRASH_EVIDENCE_H_
 #define AGATEPASS_POOL_CRASH_EVIDENCE_H_
@@ -15,24 +12,31 @@
 
 namespace agatepass::pool {
 
-/** Time after its start for which a run is unproven: it may be about to crash
- * its worker. */
-inline constexpr base::Duration kProbation = std::chrono::milliseconds(500);
-
 /** Workers that fall silent within this time of each other count as lost at the
  * same time. */
 inline constexpr base::Duration kSameTime = std::chrono::milliseconds(250);
 
-/** Whether the worker of the run is not known to have lived on for kProbation
- * after its start. */
+/** Returns how long the worker must outlive the start to prove the run
+ * harmless. */
+base::Duration ProbationOf(const RunState& run);
+
+/** Whether the run may be the cause if its worker is lost now: the worker is
+ * not known to have outlived its probation. */
 bool IsUnproven(const RunState& run);
 
-/** Returns the number of unproven runs on a worker. */
-size_t CountUnprovenRuns(const WorkerState& worker);
+/** Returns the number of jobs with unproven runs on a worker. */
+size_t CountUnprovenJobs(const WorkerState& worker);
+
+/** Whether any run on the worker is unproven. */
+bool HasUnprovenRuns(const WorkerState& worker);
 
 /** Records a reading of the worker's clock: its runs have lived until then. */
 void RecordSurvival(WorkerState& worker, int64_t clock_ms);
 
+/** Returns the work that would be lost with the worker, in millicore-seconds. A
+ * gang is lost as a whole with one of its members. */
+double WorkAtRisk(const WorkerState& worker, base::Instant now);
+
 }  // namespace agatepass::pool
 
 #endif  // AGATEPASS_POOL_CRASH_EVIDENCE_H_
--- a/src/agatepass/pool/planner_counts.h
+++ b/src/agatepass/pool/planner_counts.h
@@ -22,6 +22,15 @@
   /** Times that a worker was lost with its runs, and number of these runs. */
   uint64_t workers_lost = 0;
   uint64_t runs_given_up = 0;
+  /** Runs that may have crashed their worker, by how sure that is: something
+   * else may explain the crash, or nothing does. */
+  uint64_t crashes_suspected = 0;
+  uint64_t crashes_alone = 0;
+  /** Starts of suspected tasks, and tasks cleared of suspicion. */
+  uint64_t trials = 0;
+  uint64_t suspects_cleared = 0;
+  /** Jobs that failed because a task crashed its workers. */
+  uint64_t jobs_failed_for_crashes = 0;
   /** Runs stopped because their worker was about to shut down. */
   uint64_t runs_stopped_before_shutdown = 0;
   /** Runs stopped because they stalled. */
--- a/src/agatepass/pool/planner_crashes.cpp
+++ b/src/agatepass/pool/planner_crashes.cpp
@@ -1,23 +1,119 @@
-// Lost workers: what their loss tells about the runs that they had.
+// Crashes of workers: which tasks may have caused them, and the history that is
+// kept of it beyond this planner's term.
 #include <algorithm>
+#include <utility>
 
+#include "agatepass/pool/crash_evidence.h"
 #include "agatepass/pool/pool_planner.h"
 
 namespace agatepass::pool {
 
 void PoolPlanner::RecordSilence(WorkerState& worker, base::Instant now) {
-  if (!worker.silent_since) worker.silent_since = now;
+  if (worker.silence && !worker.silence->over) return;
+  const size_t unproven_jobs = CountUnprovenJobs(worker);
+  worker.silence = WorkerSilence{
+      .since = now, .unexplained = unproven_jobs == 0 && !worker.leaves_at};
+  for (RunState* run : worker.runs) {
+    run->silent_at = now;
+    run->alone_when_silent = unproven_jobs == 1 && IsUnproven(*run);
+    if (run->step == nullptr || !run->step->job->IsOpen()) continue;
+    TaskState& task = run->step->tasks[run->task.index];
+    if (!IsUnproven(*run) || task.at_risk_run >= run->run_number) continue;
+    task.at_risk_run = run->run_number;
+    this->MarkChanged(*run->step->job);
+  }
 }
 
-size_t PoolPlanner::CountSilentAtSameTime(const WorkerState& worker) const {
-  if (!worker.silent_since) return 0;
+size_t PoolPlanner::CountUnexplainedSilences(base::Instant at) const {
   return static_cast<size_t>(std::count_if(
       this->workers.begin(), this->workers.end(), [&](const auto& entry) {
-        const WorkerState& other = *entry.second;
-        return &other != &worker && other.silent_since &&
-               std::chrono::abs(*other.silent_since - *worker.silent_since) <=
-                   kSameTime;
+        const std::optional<WorkerSilence>& silence = entry.second->silence;
+        return silence && silence->unexplained &&
+               std::chrono::abs(silence->since - at) <= kSameTime;
       }));
 }
 
+void PoolPlanner::RecordCrash(const RunState& run, bool restarted,
+                              const PlannerTime& time) {
+  if (run.step == nullptr || !run.step->job->IsOpen()) return;
+  const base::Instant silent_at = run.silent_at.value_or(time.now);
+  const std::optional<base::Instant>& leaves_at = run.worker->leaves_at;
+  if (leaves_at && silent_at >= *leaves_at) return;
+  const bool unproven = IsUnproven(run);
+  const size_t unexplained = this->CountUnexplainedSilences(silent_at);
+  // A proven run counts only if its worker's silence is the only one at that
+  // time that no unproven run explains.
+  if (!unproven && !(restarted && unexplained == 1)) return;
+  this->AddCrash(*run.step, run.task.index,
+                 {.run = run.run_number,
+                  .survived = run.survived,
+                  .alone = unproven && restarted && run.alone_when_silent &&
+                           unexplained == 0},
+                 time);
+}
+
+void PoolPlanner::AddCrash(StepState& step, uint32_t index,
+                           const CrashedRun& crash, const PlannerTime& time) {
+  TaskState& task = step.tasks[index];
+  const bool known = std::any_of(
+      task.crashed_runs.begin(), task.crashed_runs.end(),
+      [&](const CrashedRun& other) { return other.run == crash.run; });
+  if (known || task.succeeded) return;
+  task.crashed_runs.push_back(crash);
+  ++(crash.alone ? this->totals.crashes_alone : this->totals.crashes_suspected);
+  JobState& job = *step.job;
+  const CrashVerdict verdict = JudgeCrashes(task.crashed_runs);
+  this->log.Add(
+      time.now, "task lost its worker",
+      "task={} run={} survived_ms={} alone={} crashes={} verdict=\"{}\"",
+      ToString(TaskName{job.job.id, step.occurrence, step.step_index, index}),
+      crash.run, base::ToMilliseconds(crash.survived), crash.alone,
+      task.crashed_runs.size(), CrashVerdictName(verdict));
+  if (verdict == CrashVerdict::kGivenUp) {
+    ++this->totals.jobs_failed_for_crashes;
+    this->FinishJob(job, JobPhase::kFailed, time);
+    return;
+  }
+  // The next start is recorded with the crash.
+  task.at_risk_run = task.last_run + 1;
+  this->MarkChanged(job);
+  task.changes_before_trial = job.changes;
+}
+
+void PoolPlanner::ClearSuspicion(StepState& step, uint32_t index, RunNumber run,
+                                 std::string_view reason,
+                                 const PlannerTime& time) {
+  TaskState& task = step.tasks[index];
+  if (task.crashed_runs.empty()) return;
+  const JobState& job = *step.job;
+  this->log.Add(
+      time.now, "task cleared of crashes",
+      "task={} run={} crashes={} reason=\"{}\"",
+      ToString(TaskName{job.job.id, step.occurrence, step.step_index, index}),
+      run, task.crashed_runs.size(), reason);
+  if (this->IsSuspect(task)) ++this->totals.suspects_cleared;
+  task.crashed_runs.clear();
+  if (task.at_risk_run <= run) task.at_risk_run = 0;
+  this->MarkChanged(*step.job);
+}
+
+void PoolPlanner::WithdrawCrash(TaskState& task, RunNumber run) {
+  std::erase_if(task.crashed_runs,
+                [run](const CrashedRun& crash) { return crash.run == run; });
+}
+
+void PoolPlanner::CountInheritedRisks(const PlannerTime& time) {
+  if (this->inherited_risks.empty()) return;
+  if (!this->CanStartInheritedJobs(time.now)) return;
+  for (const TaskName& name : std::exchange(this->inherited_risks, {})) {
+    StepState* step = this->FindStep(name);
+    if (step == nullptr || !step->job->IsOpen()) continue;
+    const TaskState& task = step->tasks[name.index];
+    const bool accounted_for =
+        task.current_run != nullptr || task.ended_run >= task.at_risk_run;
+    if (accounted_for) continue;
+    this->AddCrash(*step, name.index, {.run = task.at_risk_run}, time);
+  }
+}
+
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/planner_gangs.cpp
+++ b/src/agatepass/pool/planner_gangs.cpp
@@ -112,10 +112,13 @@
     if (time.now < task.earliest_start) return;
   }
   ++run;
+  const bool on_trial = this->HasSuspects(step);
+  if (on_trial && !this->IsGangTrialRecorded(step, run)) return;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& left, const Candidate& right) {
                      return left.fits > right.fits;
                    });
+  if (on_trial) this->ChooseForGangTrial(step, candidates, time.now);
   if (step.definition->same_rack) {
     std::map<base::RackId, uint32_t> rack_slots;
     for (const Candidate& candidate : candidates) {
@@ -163,6 +166,7 @@
     for (uint32_t i = 0; i < count; ++i, ++index) {
       step.tasks[index].checkpoint = checkpoint;
       this->StartTask(step, index, run, *worker, time);
+      if (on_trial) this->MarkOnTrial(*step.tasks[index].current_run);
     }
   }
 }
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -126,6 +126,7 @@
   if (!this->IsSuitable(worker, step)) return false;
   if (!worker.synced || !worker.in_roster || !worker.clock_ms) return false;
   if (time.now < worker.quarantined_until) return false;
+  if (worker.trials > 0) return false;
   // Urgent steps may use resources reserved for gangs; late ones may not, even
   // of the highest priority: they would take them from gangs in time.
   if (GetUrgency(step, time.now) == Urgency::kUrgent) return true;
@@ -197,12 +198,13 @@
     const bool reserved = !candidate.worker->gang_reservations.empty();
     return std::make_tuple(remote, !candidate.ticket_valid, reserved, unused);
   };
+  this->PlaceSuspects(step, candidates, time);
   std::vector<std::pair<WorkerState*, uint32_t>> expired_tickets;
   uint32_t tasks_needing_renewal = 0;
   for (uint32_t i = 0; i < step.tasks.size(); ++i) {
     TaskState& task = step.tasks[i];
     if (task.succeeded || task.current_run != nullptr) continue;
-    if (time.now < task.earliest_start) continue;
+    if (time.now < task.earliest_start || this->IsSuspect(task)) continue;
     Candidate* best = nullptr;
     for (Candidate& candidate : candidates) {
       if (candidate.fits == 0) continue;
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -66,6 +66,7 @@
     if (task.current_run == &run) task.current_run = nullptr;
     if (!task.succeeded) ++run.step->waiting;
   }
+  this->EndTrial(run);
   const RunKey key(run.task, run.run_number);
   this->stopping_runs.erase(key);
   this->runs.erase(key);
@@ -118,6 +119,7 @@
   TaskState& task = step->tasks[report.task.index];
   task.last_run = std::max(task.last_run, report.run);
   task.ended_run = std::max(task.ended_run, report.run);
+  this->WithdrawCrash(task, report.run);
   if (job.IsOpen() && !task.succeeded) {
     if (!report.checkpoint.empty()) task.checkpoint = report.checkpoint;
     this->MarkChanged(job);
@@ -163,6 +165,8 @@
   ++this->totals.failures;
   TaskState& task = step.tasks[report.task.index];
   task.avoided_worker = worker.record.worker;
+  this->ClearSuspicion(step, report.task.index, report.run,
+                       "the run failed by itself", time);
   if (step.definition->gang) this->StopGangMembers(step, report.run, time.now);
   std::vector<RunNumber>& failed_runs =
       step.definition->gang ? step.failed_runs : task.failed_runs;
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -107,6 +107,7 @@
   } else if (!may_be_former) {
     worker.last_acknowledged_end =
         std::max(worker.last_acknowledged_end, request.acknowledged_up_to);
+    worker.silence.reset();
   }
   this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
   worker.may_have_restarted = false;
@@ -208,6 +209,7 @@
                   ToString(run->task), run->run_number,
                   worker.record.worker.value, static_cast<int>(run->phase),
                   run->worker_restarted, base::ToMilliseconds(run->survived));
+    if (run->worker_restarted) this->RecordCrash(*run, true, time);
     this->HandleAbsentRun(*run, time.now, time);
   }
 }
@@ -260,6 +262,7 @@
     return;
   }
   run.expected_end = time.now + step->definition->estimate;
+  if (this->HasSuspects(*step)) this->MarkOnTrial(run);
   if (!report.checkpoint.empty())
     step->tasks[report.task.index].checkpoint = report.checkpoint;
   if (step->job->phase == JobPhase::kQueued) {
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "agatepass/pool/crash_evidence.h"
 #include "agatepass/pool/pool_planner.h"
 
 namespace agatepass::pool {
@@ -100,7 +101,6 @@
   worker.clock_read_at = now;
   worker.last_answer_at = now;
   worker.unanswered_calls = 0;
-  worker.silent_since.reset();
   RecordSurvival(worker, clock_ms);
 }
 
@@ -171,10 +171,10 @@
   this->RecordSilence(worker, time.now);
   if (worker.unanswered_calls == kUnansweredCallsToLog) {
     this->log.Add(time.now, "worker unresponsive",
-                  "worker={} last_answer_ms={} runs={} unproven_runs={}",
+                  "worker={} last_answer_ms={} runs={} unproven_jobs={}",
                   worker.record.worker.value,
                   base::ToMilliseconds(time.now - worker.last_answer_at),
-                  worker.runs.size(), CountUnprovenRuns(worker));
+                  worker.runs.size(), CountUnprovenJobs(worker));
   }
 }
 
@@ -183,6 +183,7 @@
   this->log.Add(time.now, "worker incarnation changed", "worker={} runs={}",
                 worker.record.worker.value, worker.runs.size());
   this->RecordSilence(worker, time.now);
+  worker.silence->over = true;
   worker.synced = false;
   worker.may_have_restarted = true;
   worker.incarnation_changed_at = time.now;
@@ -215,37 +216,41 @@
 }
 
 void PoolPlanner::EndIncarnation(WorkerState& worker, const PlannerTime& time) {
-  this->DropLostRuns(worker,
-                     "another worker incarnation answers at its address", time);
+  this->RecordSilence(worker, time.now);
+  this->DropLostRuns(worker, true, time);
   this->ForgetIncarnation(worker, time);
   worker.lease_expires_at = {};
   this->unsynced_workers.erase(worker.record.worker);
 }
 
-void PoolPlanner::DropLostRuns(WorkerState& worker, std::string_view reason,
+void PoolPlanner::DropLostRuns(WorkerState& worker, bool restarted,
                                const PlannerTime& time) {
   if (worker.runs.empty()) return;
   ++this->totals.workers_lost;
   this->totals.runs_given_up += worker.runs.size();
-  this->log.Add(
-      time.now, "runs lost",
-      "worker={} runs={} unproven_runs={} silent_ms={} "
-      "also_silent={} reason=\"{}\"",
-      worker.record.worker.value, worker.runs.size(), CountUnprovenRuns(worker),
-      base::ToMilliseconds(time.now - worker.silent_since.value_or(time.now)),
-      this->CountSilentAtSameTime(worker), reason);
+  const base::Instant silent_at =
+      worker.silence ? worker.silence->since : time.now;
+  this->log.Add(time.now, "runs lost",
+                "worker={} runs={} unproven_jobs={} silent_ms={} "
+                "unexplained_silences={} reason=\"{}\"",
+                worker.record.worker.value, worker.runs.size(),
+                CountUnprovenJobs(worker),
+                base::ToMilliseconds(time.now - silent_at),
+                this->CountUnexplainedSilences(silent_at),
+                restarted ? "another worker incarnation answers at its address"
+                          : "worker lease expired");
   const std::vector<RunState*> lost = worker.runs;
   for (RunState* run : lost) {
     this->log.Add(time.now, "run given up",
                   "task={} run={} worker={} phase={} percent={} "
-                  "last_answer_ms={} run_ms={} survived_ms={}",
+                  "last_answer_ms={} run_ms={} survived_ms={} on_trial={}",
                   ToString(run->task), run->run_number,
                   worker.record.worker.value, static_cast<int>(run->phase),
                   run->last_progress.percent,
                   base::ToMilliseconds(time.now - worker.last_answer_at),
-                  base::ToMilliseconds(worker.silent_since.value_or(time.now) -
-                                       run->start_requested_at),
-                  base::ToMilliseconds(run->survived));
+                  base::ToMilliseconds(silent_at - run->start_requested_at),
+                  base::ToMilliseconds(run->survived), run->on_trial);
+    this->RecordCrash(*run, restarted, time);
     this->HandleAbsentRun(*run, time.now, time);
   }
 }
@@ -255,6 +260,7 @@
   this->next_worker_check = time.now + kWorkerCheckPeriod;
   this->StopRunsBeforeShutdown(time);
   this->DropExpiredWorkers(time);
+  this->CheckTrials(time);
 }
 
 bool PoolPlanner::HasExpired(base::Instant lease_end, base::Instant now) const {
@@ -268,8 +274,7 @@
       ++entry;
       continue;
     }
-    if (!worker.runs.empty())
-      this->DropLostRuns(worker, "worker lease expired", time);
+    if (!worker.runs.empty()) this->DropLostRuns(worker, false, time);
     const bool removable =
         !worker.listed && !worker.sync_in_flight &&
         time.now > worker.last_answer_at + this->options.worker_lease &&
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -141,9 +141,19 @@
                           task_progress.step, task_progress.index});
       if (step == nullptr) continue;
       TaskState& task = step->tasks[task_progress.index];
-      task.last_run = task_progress.ended_run;
+      task.last_run =
+          std::max(task_progress.ended_run, task_progress.at_risk_run);
       task.ended_run = task_progress.ended_run;
       task.checkpoint = task_progress.checkpoint;
+      task.crashed_runs = task_progress.crashed_runs;
+      task.at_risk_run = task_progress.at_risk_run;
+      for (const CrashedRun& crash : task.crashed_runs)
+        task.last_run = std::max(task.last_run, crash.run);
+      if (task.at_risk_run > task.ended_run) {
+        this->inherited_risks.push_back({entry.job.id, task_progress.occurrence,
+                                         task_progress.step,
+                                         task_progress.index});
+      }
       if (step->definition->gang) {
         step->failed_runs = task_progress.failed_runs;
       } else {
@@ -172,6 +182,7 @@
     this->CheckLeadership(time.now);
     this->CheckWorkers(time);
     this->DropUnlistedUnsyncedWorkers(time.now);
+    this->CountInheritedRisks(time);
     this->SendStops(time);
     if (!this->handing_over && !this->unconfirmed_since &&
         time.now >= this->earliest_scheduling_at &&
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -22,7 +22,6 @@
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/pool/advice_choice.h"
-#include "agatepass/pool/crash_evidence.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
 #include "agatepass/pool/planner_counts.h"
@@ -306,7 +305,7 @@
   void EndIncarnation(WorkerState& worker, const PlannerTime& time);
   /** Removes all runs of the worker, which have provably ended; their tasks may
    * start again. */
-  void DropLostRuns(WorkerState& worker, std::string_view reason,
+  void DropLostRuns(WorkerState& worker, bool restarted,
                     const PlannerTime& time);
   /** Looks for workers that are about to shut down or whose leases have
    * expired; does nothing if it did so a moment ago. */
@@ -333,10 +332,58 @@
 
   // planner_crashes.cpp
   /** Notes that the worker does not answer, or not any more as the same
-   * incarnation, unless that is known already. */
+   * incarnation, unless that is known already. Its unproven runs are marked as
+   * at risk in the store. */
   void RecordSilence(WorkerState& worker, base::Instant now);
-  /** Returns the number of other workers that fell silent at the same time. */
-  size_t CountSilentAtSameTime(const WorkerState& worker) const;
+  /** Returns the number of workers that fell silent at this time without a run
+   * that could be the cause: a rack, a power cut, or a cut network. */
+  size_t CountUnexplainedSilences(base::Instant at) const;
+  /** Records that a run is lost with its worker, and gives the task up if it
+   * has crashed too many.
+   * \param restarted whether the worker is known to have restarted; otherwise
+   * its lease has expired, and it may only be cut off. */
+  void RecordCrash(const RunState& run, bool restarted,
+                   const PlannerTime& time);
+  /** Adds a crash to the task's history and judges the task. */
+  void AddCrash(StepState& step, uint32_t index, const CrashedRun& crash,
+                const PlannerTime& time);
+  /** Forgets the crashes under a task, as it is proven harmless.
+   * \param run the run that proves it. */
+  void ClearSuspicion(StepState& step, uint32_t index, RunNumber run,
+                      std::string_view reason, const PlannerTime& time);
+  /** Forgets that a run was lost in a crash, as its worker lists its end. */
+  void WithdrawCrash(TaskState& task, RunNumber run);
+  /** Counts the runs at risk of earlier terms that no worker has, once all
+   * workers are synced or their leases have expired. */
+  void CountInheritedRisks(const PlannerTime& time);
+
+  // planner_trials.cpp
+  bool IsSuspect(const TaskState& task) const;
+  bool HasSuspects(const StepState& step) const;
+  /** Whether the task's next trial would be known to the next planner, even if
+   * this one is lost in it; otherwise its record is about to be written. */
+  bool IsTrialRecorded(StepState& step, uint32_t index, RunNumber run);
+  /** Same, for all suspected members of a gang. */
+  bool IsGangTrialRecorded(StepState& step, RunNumber run);
+  void MarkOnTrial(RunState& run);
+  void EndTrial(RunState& run);
+  /** Ends the trials that have outlived their probation, and asks the workers
+   * of the others. */
+  void CheckTrials(const PlannerTime& time);
+  /** Starts suspected tasks of a step, all on one worker, where they do the
+   * least harm. */
+  void PlaceSuspects(StepState& step, std::span<Candidate> candidates,
+                     const PlannerTime& time);
+  /** Returns the candidate for a trial: one without other unproven runs and
+   * with little work at risk; null if waiting for a better one is worthwhile.
+   * \param waiting_since when the trial could first have started. */
+  Candidate* ChooseForTrial(std::span<Candidate> candidates,
+                            base::Instant waiting_since,
+                            base::Instant now) const;
+  /** Keeps and sorts the candidates for a gang with suspects. */
+  void ChooseForGangTrial(const StepState& step,
+                          std::vector<Candidate>& candidates,
+                          base::Instant now) const;
 
   // planner_draining.cpp
   /** Records when the worker may shut down, from its latest report.
@@ -510,6 +557,9 @@
   std::map<base::ServiceId, ServiceLoad> loads;
   std::map<RunKey, std::unique_ptr<RunState>> runs;
   std::set<RunKey> stopping_runs;
+  std::set<RunKey> trial_runs;
+  /** Tasks whose run at risk of an earlier term is not accounted for. */
+  std::vector<TaskName> inherited_risks;
   /** Jobs with changes that are not written yet. */
   WriteBacklog unwritten_jobs;
   std::map<uint64_t, SentCommit> commits;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -17,6 +17,7 @@
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/platform/resources.h"
+#include "agatepass/pool/crash_history.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
 #include "agatepass/pool/record_codec.h"
@@ -76,6 +77,14 @@
   base::Duration survived{0};
   /** Whether the worker has restarted since the start request. */
   bool worker_restarted = false;
+  /** Whether it is a trial of a suspected task, or of a gang that has one. */
+  bool on_trial = false;
+  /** When the next sync may be sent to learn the outcome of the trial. */
+  base::Instant next_trial_check;
+  /** When its worker last fell silent, and whether all runs that were unproven
+   * there were of this run's job. */
+  std::optional<base::Instant> silent_at;
+  bool alone_when_silent = false;
   ProgressPoint last_progress;
 };
 
@@ -98,6 +107,14 @@
    * avoids it while another worker is possible. */
   base::WorkerId avoided_worker;
   base::Instant earliest_start;
+  /** Runs that were lost because their workers crashed, since a run of it was
+   * last proven harmless. */
+  std::vector<CrashedRun> crashed_runs;
+  /** The run that the next planner shall count as crashed if it finds it
+   * nowhere; 0 for none. */
+  RunNumber at_risk_run = 0;
+  /** Number of the job's changes that must be stored before its next trial. */
+  uint64_t changes_before_trial = 0;
 };
 
 /** A ticket for a worker and its end of validity. */
@@ -233,6 +250,17 @@
   base::Instant sent_at;
 };
 
+/** A worker's silence: a call was not answered, or another incarnation answers.
+ */
+struct WorkerSilence {
+  base::Instant since;
+  /** Whether another incarnation has answered since. */
+  bool over = false;
+  /** Whether no unproven run was there that could be the cause, and the worker
+   * had not announced its shutdown. */
+  bool unexplained = false;
+};
+
 /** A worker, with the state of its current incarnation. */
 struct WorkerState {
   WorkerRecord record;
@@ -286,8 +314,11 @@
   base::Instant lease_expires_at;
   base::Instant last_answer_at;
   uint32_t unanswered_calls = 0;
-  /** When it was first noticed not to answer; unset while it answers. */
-  std::optional<base::Instant> silent_since;
+  /** Its latest silence, unless it went on afterwards as the same incarnation.
+   */
+  std::optional<WorkerSilence> silence;
+  /** Number of its runs that are trials of suspected tasks. */
+  uint32_t trials = 0;
   /** Failed runs since the last successful run or quarantine for failures. */
   uint32_t consecutive_failures = 0;
   base::Instant quarantined_until;
--- a/src/agatepass/pool/record_codec.cpp
+++ b/src/agatepass/pool/record_codec.cpp
@@ -95,6 +95,40 @@
   return policy;
 }
 
+/** Number of values in the row of a task under which no worker has crashed. */
+constexpr size_t kValuesWithoutCrashes = 6;
+
+Json EncodeTask(const TaskProgress& task) {
+  Json row = {task.occurrence, task.step,        task.index,
+              task.ended_run,  task.failed_runs, task.checkpoint};
+  if (task.crashed_runs.empty() && task.at_risk_run == 0) return row;
+  row.push_back(task.at_risk_run);
+  Json crashes = Json::array();
+  for (const CrashedRun& crash : task.crashed_runs) {
+    crashes.push_back({crash.run, crash.survived.count(), crash.alone});
+  }
+  row.push_back(std::move(crashes));
+  return row;
+}
+
+TaskProgress DecodeTask(const Json& row) {
+  TaskProgress task{.occurrence = row.at(0).get<uint32_t>(),
+                    .step = row.at(1).get<uint32_t>(),
+                    .index = row.at(2).get<uint32_t>(),
+                    .ended_run = row.at(3).get<RunNumber>(),
+                    .failed_runs = row.at(4).get<std::vector<RunNumber>>(),
+                    .checkpoint = row.at(5).get<std::string>()};
+  if (row.size() == kValuesWithoutCrashes) return task;
+  task.at_risk_run = row.at(6).get<RunNumber>();
+  for (const Json& crash : row.at(7)) {
+    task.crashed_runs.push_back(
+        {.run = crash.at(0).get<RunNumber>(),
+         .survived = base::Duration(crash.at(1).get<int64_t>()),
+         .alone = crash.at(2).get<bool>()});
+  }
+  return task;
+}
+
 absl::Status MalformedError(std::string_view what, std::string_view reason) {
   return base::ErrorStatus(
       base::ResultCode::kInvalidRequest,
@@ -165,8 +199,7 @@
         {range.occurrence, range.step, range.first, range.last});
   }
   for (const TaskProgress& task : progress.tasks) {
-    out["tasks"].push_back({task.occurrence, task.step, task.index,
-                            task.ended_run, task.failed_runs, task.checkpoint});
+    out["tasks"].push_back(EncodeTask(task));
   }
   return out.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -189,11 +222,7 @@
            entry.at(2).get<uint32_t>(), entry.at(3).get<uint32_t>()});
     }
     for (const Json& entry : in.value("tasks", Json::array())) {
-      progress.tasks.push_back(
-          {entry.at(0).get<uint32_t>(), entry.at(1).get<uint32_t>(),
-           entry.at(2).get<uint32_t>(), entry.at(3).get<RunNumber>(),
-           entry.at(4).get<std::vector<RunNumber>>(),
-           entry.at(5).get<std::string>()});
+      progress.tasks.push_back(DecodeTask(entry));
     }
     return progress;
   } catch (const Json::exception& error) {
--- a/src/agatepass/pool/record_codec.h
+++ b/src/agatepass/pool/record_codec.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "agatepass/pool/crash_history.h"
 #include "agatepass/pool/job.h"
 
 namespace agatepass::pool {
@@ -43,6 +44,11 @@
   std::vector<RunNumber> failed_runs;
   /** Latest checkpoint, opaque; empty if there is none. */
   std::string checkpoint;
+  /** Runs that were lost because their workers crashed. */
+  std::vector<CrashedRun> crashed_runs;
+  /** A run that counts as crashed if no worker has it or lists its end; 0 for
+   * none. */
+  RunNumber at_risk_run = 0;
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/src/agatepass/pool/tests/record_codec_test.cpp
+++ b/src/agatepass/pool/tests/record_codec_test.cpp
@@ -51,16 +51,29 @@
 }
 
 TEST(RecordCodec, ProgressRoundTrips) {
-  const JobProgress progress{.phase = JobPhase::kFailed,
-                             .final_ms = 99,
-                             .succeeded = {{0, 1, 2, 5}},
-                             .tasks = {{0, 1, 7, 3, {1, 3}, "saved"}}};
+  const JobProgress progress{
+      .phase = JobPhase::kFailed,
+      .final_ms = 99,
+      .succeeded = {{0, 1, 2, 5}},
+      .tasks = {{0, 1, 7, 3, {1, 3}, "saved"},
+                {.step = 1,
+                 .index = 8,
+                 .crashed_runs = {{.run = 1}, {2, base::Duration(700), true}},
+                 .at_risk_run = 3}}};
   const absl::StatusOr<JobProgress> decoded =
       DecodeProgress(EncodeProgress(progress));
   ASSERT_TRUE(decoded.ok()) << decoded.status();
   EXPECT_EQ(*decoded, progress);
 }
 
+TEST(RecordCodec, ReadsTasksWithoutTheirCrashes) {
+  const auto progress = DecodeProgress(
+      R"({"phase":"running","tasks":[[0,1,7,3,[1,3],"saved"]]})");
+  ASSERT_TRUE(progress.ok()) << progress.status();
+  EXPECT_EQ(progress->tasks,
+            (std::vector<TaskProgress>{{0, 1, 7, 3, {1, 3}, "saved"}}));
+}
+
 TEST(RecordCodec, RejectsMalformedRecords) {
   EXPECT_FALSE(DecodeJob("{").ok());
   EXPECT_FALSE(DecodeJob("[]").ok());
