Contain queues whose tasks crash workers, and put off probable culprits

Each first start takes all that runs on its worker, and each trial of a culprit another worker.

Change: a worker that falls silent with unproven runs, and stays so, counts against the queues of these runs, unless workers without such runs fell silent at the same time. From the second such crash within some seconds the queue is contained: its tasks start one job at a time on workers without other unproven runs, preferably those of earlier trials, which others avoid while they can.

--- a/src/agatepass/pool/crash_evidence.cpp
+++ b/src/agatepass/pool/crash_evidence.cpp
@@ -12,17 +12,22 @@
 
 bool IsUnproven(const RunState& run) { return run.survived < ProbationOf(run); }
 
+bool IsUnprovenOnWorker(const RunState& run) {
+  return !run.worker_restarted && IsUnproven(run);
+}
+
 size_t CountUnprovenJobs(const WorkerState& worker) {
   std::set<base::JobId> jobs;
   for (const RunState* run : worker.runs) {
-    if (IsUnproven(*run)) jobs.insert(run->task.job);
+    if (IsUnprovenOnWorker(*run)) jobs.insert(run->task.job);
   }
   return jobs.size();
 }
 
 bool HasUnprovenRuns(const WorkerState& worker) {
-  return std::any_of(worker.runs.begin(), worker.runs.end(),
-                     [](const RunState* run) { return IsUnproven(*run); });
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(),
+      [](const RunState* run) { return IsUnprovenOnWorker(*run); });
 }
 
 void RecordSurvival(WorkerState& worker, int64_t clock_ms) {
--- a/src/agatepass/pool/crash_evidence.h
+++ b/src/agatepass/pool/crash_evidence.h
@@ -24,6 +24,9 @@
  * not known to have outlived its probation. */
 bool IsUnproven(const RunState& run);
 
+/** Same, if the run was ordered from the worker's current incarnation. */
+bool IsUnprovenOnWorker(const RunState& run);
+
 /** Returns the number of jobs with unproven runs on a worker. */
 size_t CountUnprovenJobs(const WorkerState& worker);
 
--- a/src/agatepass/pool/planner_crashes.cpp
+++ b/src/agatepass/pool/planner_crashes.cpp
@@ -1,6 +1,8 @@
 // Crashes of workers: which tasks may have caused them, and the history that is
 // kept of it beyond this planner's term.
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 #include "agatepass/pool/crash_evidence.h"
@@ -8,20 +10,60 @@
 
 namespace agatepass::pool {
 
+namespace {
+
+/** Number of unanswered calls from which a silent worker counts as lost: an
+ * order alone may get no answer. */
+constexpr uint32_t kCallsToConfirmSilence = 2;
+
+}  // namespace
+
 void PoolPlanner::RecordSilence(WorkerState& worker, base::Instant now) {
   if (worker.silence && !worker.silence->over) return;
   const size_t unproven_jobs = CountUnprovenJobs(worker);
   worker.silence = WorkerSilence{
       .since = now, .unexplained = unproven_jobs == 0 && !worker.leaves_at};
+  std::map<base::JobId, std::string> queues;
   for (RunState* run : worker.runs) {
+    if (run->worker_restarted) continue;
     run->silent_at = now;
     run->alone_when_silent = unproven_jobs == 1 && IsUnproven(*run);
     if (run->step == nullptr || !run->step->job->IsOpen()) continue;
     TaskState& task = run->step->tasks[run->task.index];
-    if (!IsUnproven(*run) || task.at_risk_run >= run->run_number) continue;
+    if (!IsUnproven(*run)) continue;
+    queues[run->task.job] = run->step->job->job.queue;
+    if (task.at_risk_run >= run->run_number) continue;
     task.at_risk_run = run->run_number;
     this->MarkChanged(*run->step->job);
   }
+  if (queues.empty()) return;
+  UnblamedSilence& silence = this->unblamed_silences.emplace_back();
+  silence.worker = worker.record.worker;
+  silence.at = now;
+  for (auto& [job, queue] : queues) silence.queues.push_back(std::move(queue));
+}
+
+void PoolPlanner::BlameQueues(base::Instant now) {
+  std::erase_if(this->unblamed_silences, [&](const UnblamedSilence& entry) {
+    const auto found = this->workers.find(entry.worker);
+    if (found == this->workers.end()) return true;
+    const WorkerState& worker = *found->second;
+    const bool went_on = !worker.silence || worker.silence->since != entry.at;
+    if (went_on) return true;
+    const bool is_confirmed = worker.silence->over ||
+                              worker.unanswered_calls >= kCallsToConfirmSilence;
+    if (!is_confirmed || now < entry.at + kSameTime) return false;
+    if (this->CountUnexplainedSilences(entry.at) > 0) return true;
+    for (const std::string& queue : entry.queues) {
+      const bool before = this->crash_watch.IsContained(queue, now);
+      this->crash_watch.OnCrash(
+          queue, 1.0 / static_cast<double>(entry.queues.size()), now);
+      if (before || !this->crash_watch.IsContained(queue, now)) continue;
+      this->log.Add(now, "queue contained", "queue={} worker={}", queue,
+                    entry.worker.value);
+    }
+    return true;
+  });
 }
 
 size_t PoolPlanner::CountUnexplainedSilences(base::Instant at) const {
@@ -40,6 +82,7 @@
   const std::optional<base::Instant>& leaves_at = run.worker->leaves_at;
   if (leaves_at && silent_at >= *leaves_at) return;
   const bool unproven = IsUnproven(run);
+  if (!unproven) run.step->tasks[run.task.index].proven = true;
   const size_t unexplained = this->CountUnexplainedSilences(silent_at);
   // A proven run counts only if its worker's silence is the only one at that
   // time that no unproven run explains.
@@ -84,6 +127,7 @@
                                  std::string_view reason,
                                  const PlannerTime& time) {
   TaskState& task = step.tasks[index];
+  task.proven = true;
   if (task.crashed_runs.empty()) return;
   const JobState& job = *step.job;
   this->log.Add(
--- a/src/agatepass/pool/planner_gangs.cpp
+++ b/src/agatepass/pool/planner_gangs.cpp
@@ -112,12 +112,16 @@
     if (time.now < task.earliest_start) return;
   }
   ++run;
-  const bool on_trial = this->HasSuspects(step);
+  const bool on_trial = this->HasTrials(step, time.now);
   if (on_trial && !this->IsGangTrialRecorded(step, run)) return;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& left, const Candidate& right) {
                      return left.fits > right.fits;
                    });
+  std::stable_partition(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return !this->WasOnTrialLately(*candidate.worker, time.now);
+      });
   if (on_trial) this->ChooseForGangTrial(step, candidates, time.now);
   if (step.definition->same_rack) {
     std::map<base::RackId, uint32_t> rack_slots;
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -96,12 +96,15 @@
   const bool is_gang = step.definition->gang;
   if (is_gang && step.waiting < step.tasks.size()) return;
   std::vector<Candidate> candidates = this->FindCandidates(step, time);
+  // Trials wait for a good moment on the workers that are known.
+  const bool waits_for_trial =
+      !is_gang && !candidates.empty() && this->HasTrials(step, time.now);
   if (is_gang) {
     this->PlaceGang(step, std::move(candidates), time);
   } else if (!candidates.empty()) {
     this->PlaceTasks(step, std::move(candidates), time);
   }
-  if (step.waiting == 0 || !this->NeedsAdvice(step)) return;
+  if (step.waiting == 0 || waits_for_trial || !this->NeedsAdvice(step)) return;
   const auto reservation = this->gang_reservations.find(&step);
   if (reservation != this->gang_reservations.end()) {
     this->RenewReservedTickets(reservation->second, time);
@@ -188,23 +191,27 @@
 void PoolPlanner::PlaceTasks(StepState& step, std::vector<Candidate> candidates,
                              const PlannerTime& time) {
   const int64_t need = step.definition->need.millicores;
-  // In this order: the rack of the data, as reading remote data costs more than
-  // a worse fit; valid tickets; workers without a gang reservation; best fit,
-  // which keeps whole workers free for large tasks.
+  // In this order: workers without trials, as these may crash; the rack of the
+  // data, as reading remote data costs more than a worse fit; valid tickets;
+  // workers without a gang reservation; best fit, which keeps whole workers
+  // free for large tasks.
   const auto rank = [&](const Candidate& candidate) {
     const bool remote = !step.definition->data_rack.empty() &&
                         candidate.worker->rack != step.definition->data_rack;
     const int64_t unused = candidate.worker->FreeResources().millicores - need;
     const bool reserved = !candidate.worker->gang_reservations.empty();
-    return std::make_tuple(remote, !candidate.ticket_valid, reserved, unused);
+    const bool on_trial = this->WasOnTrialLately(*candidate.worker, time.now);
+    return std::make_tuple(on_trial, remote, !candidate.ticket_valid, reserved,
+                           unused);
   };
-  this->PlaceSuspects(step, candidates, time);
+  this->PlaceTrials(step, candidates, time);
   std::vector<std::pair<WorkerState*, uint32_t>> expired_tickets;
   uint32_t tasks_needing_renewal = 0;
   for (uint32_t i = 0; i < step.tasks.size(); ++i) {
     TaskState& task = step.tasks[i];
     if (task.succeeded || task.current_run != nullptr) continue;
-    if (time.now < task.earliest_start || this->IsSuspect(task)) continue;
+    if (time.now < task.earliest_start) continue;
+    if (this->NeedsTrial(step, task, time.now)) continue;
     Candidate* best = nullptr;
     for (Candidate& candidate : candidates) {
       if (candidate.fits == 0) continue;
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -262,7 +262,7 @@
     return;
   }
   run.expected_end = time.now + step->definition->estimate;
-  if (this->HasSuspects(*step)) this->MarkOnTrial(run);
+  if (this->HasTrials(*step, time.now)) this->MarkOnTrial(run);
   if (!report.checkpoint.empty())
     step->tasks[report.task.index].checkpoint = report.checkpoint;
   if (step->job->phase == JobPhase::kQueued) {
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -260,6 +260,7 @@
   this->next_worker_check = time.now + kWorkerCheckPeriod;
   this->StopRunsBeforeShutdown(time);
   this->DropExpiredWorkers(time);
+  this->BlameQueues(time.now);
   this->CheckTrials(time);
 }
 
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -22,6 +22,7 @@
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/pool/advice_choice.h"
+#include "agatepass/pool/crash_watch.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
 #include "agatepass/pool/planner_counts.h"
@@ -199,6 +200,14 @@
     std::vector<base::WorkerId> roster_workers;
   };
 
+  /** A worker's silence, with the queues of the jobs that had unproven runs
+   * there. */
+  struct UnblamedSilence {
+    base::WorkerId worker;
+    base::Instant at;
+    std::vector<std::string> queues;
+  };
+
   /** A worker considered for a step, with the number of tasks that fit on it.
    */
   struct Candidate {
@@ -338,6 +347,9 @@
   /** Returns the number of workers that fell silent at this time without a run
    * that could be the cause: a rack, a power cut, or a cut network. */
   size_t CountUnexplainedSilences(base::Instant at) const;
+  /** Blames the queues of the jobs with unproven runs on workers that fell
+   * silent a moment ago, unless a rack or a network explains the silence. */
+  void BlameQueues(base::Instant now);
   /** Records that a run is lost with its worker, and gives the task up if it
    * has crashed too many.
    * \param restarted whether the worker is known to have restarted; otherwise
@@ -359,7 +371,18 @@
 
   // planner_trials.cpp
   bool IsSuspect(const TaskState& task) const;
-  bool HasSuspects(const StepState& step) const;
+  /** Whether the task's next run is a trial: it is a suspect, or nothing is
+   * known of it and its queue is contained. */
+  bool NeedsTrial(const StepState& step, const TaskState& task,
+                  base::Instant now) const;
+  /** Whether a task of the step needs a trial. */
+  bool HasTrials(const StepState& step, base::Instant now) const;
+  /** Whether a further worker may be put at risk for a task: not while too many
+   * are lost already. */
+  bool MayPutWorkerAtRisk(const TaskState& task, base::Instant now) const;
+  /** Whether a trial began on the worker a short while ago, so that others
+   * should keep away. */
+  bool WasOnTrialLately(const WorkerState& worker, base::Instant now) const;
   /** Whether the task's next trial would be known to the next planner, even if
    * this one is lost in it; otherwise its record is about to be written. */
   bool IsTrialRecorded(StepState& step, uint32_t index, RunNumber run);
@@ -370,15 +393,16 @@
   /** Ends the trials that have outlived their probation, and asks the workers
    * of the others. */
   void CheckTrials(const PlannerTime& time);
-  /** Starts suspected tasks of a step, all on one worker, where they do the
-   * least harm. */
-  void PlaceSuspects(StepState& step, std::span<Candidate> candidates,
-                     const PlannerTime& time);
+  /** Starts tasks of a step that need a trial, all on one worker, where they do
+   * the least harm. */
+  void PlaceTrials(StepState& step, std::span<Candidate> candidates,
+                   const PlannerTime& time);
   /** Returns the candidate for a trial: one without other unproven runs and
    * with little work at risk; null if waiting for a better one is worthwhile.
-   * \param waiting_since when the trial could first have started. */
+   * \param waiting_since when the trial of a suspect could first have started;
+   * nothing if no task is a suspect. */
   Candidate* ChooseForTrial(std::span<Candidate> candidates,
-                            base::Instant waiting_since,
+                            std::optional<base::Instant> waiting_since,
                             base::Instant now) const;
   /** Keeps and sorts the candidates for a gang with suspects. */
   void ChooseForGangTrial(const StepState& step,
@@ -560,6 +584,9 @@
   std::set<RunKey> trial_runs;
   /** Tasks whose run at risk of an earlier term is not accounted for. */
   std::vector<TaskName> inherited_risks;
+  CrashWatch crash_watch;
+  /** Silences of workers with unproven runs that no queue is blamed for yet. */
+  std::deque<UnblamedSilence> unblamed_silences;
   /** Jobs with changes that are not written yet. */
   WriteBacklog unwritten_jobs;
   std::map<uint64_t, SentCommit> commits;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -115,6 +115,8 @@
   RunNumber at_risk_run = 0;
   /** Number of the job's changes that must be stored before its next trial. */
   uint64_t changes_before_trial = 0;
+  /** Whether a worker has outlived a start of it. */
+  bool proven = false;
 };
 
 /** A ticket for a worker and its end of validity. */
@@ -317,8 +319,9 @@
   /** Its latest silence, unless it went on afterwards as the same incarnation.
    */
   std::optional<WorkerSilence> silence;
-  /** Number of its runs that are trials of suspected tasks. */
+  /** Number of its runs that are trials, and when the latest began. */
   uint32_t trials = 0;
+  base::Instant last_trial_at;
   /** Failed runs since the last successful run or quarantine for failures. */
   uint32_t consecutive_failures = 0;
   base::Instant quarantined_until;
--- a/src/agatepass/pool/tests/crashing_task_test.cpp
+++ b/src/agatepass/pool/tests/crashing_task_test.cpp
@@ -119,6 +119,28 @@
   this->ExpectNoViolations();
 }
 
+TEST_F(CrashingTask, KeepsItsQueueFromPuttingSeveralJobsAtRiskOnOneWorker) {
+  this->cell.RunFor(seconds(1));
+  for (const char* id : {"crasher", "crasher2"}) {
+    this->SubmitCrashingJob(id);
+    this->cell.RunFor(milliseconds(100));
+  }
+  this->cell.RunFor(seconds(2));
+  this->cell.Submit(MakePoolJob("x", 1, 500, seconds(3)));
+  this->cell.Submit(MakePoolJob("y", 1, 500, seconds(3)));
+  this->cell.RunFor(milliseconds(200));
+  const TaskName x{base::JobId("x"), 0, 0, 0};
+  const TaskName y{base::JobId("y"), 0, 0, 0};
+  for (size_t i = 0; i < kWorkers; ++i) {
+    const auto runs = this->cell.worker(i).GetRuns();
+    EXPECT_FALSE(runs.contains(x) && runs.contains(y));
+  }
+  EXPECT_EQ(this->cell.CountStarts(x), 1);
+  EXPECT_EQ(this->cell.CountStarts(y), 1);
+  this->cell.RunFor(seconds(60));
+  this->ExpectNoViolations();
+}
+
 TEST_F(CrashingTask, IsNotBlamedForRacksAndPowerCutsThatHitEachOfItsRuns) {
   this->cell.RunFor(seconds(1));
   this->cell.Submit(MakePoolJob("innocent", 12, 500, seconds(4)));
