Take a worker out of the roster once another answers at its address

What callers saw: after a takeover among crashing workers nothing that was accepted before starts for seconds.

Cause: the roster kept the ids of crashed workers for longer than a lease. A next planner cannot ask them, as they are not listed any more, so it waited for 8.6 s before it started tasks of earlier terms.

A worker at whose address another one answers has no runs; it leaves the roster at once, and the refusals that follow are not logged as new incarnations (814 lines on csc-4).

--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -145,14 +145,16 @@
   if (this->roster_in_flight) return;
   const bool is_incomplete =
       std::exchange(this->roster_may_be_incomplete, false) &&
-      std::any_of(this->workers.begin(), this->workers.end(),
-                  [](const auto& entry) {
-                    return entry.second->listed && !entry.second->in_roster;
-                  });
+      std::any_of(
+          this->workers.begin(), this->workers.end(), [](const auto& entry) {
+            const WorkerState& worker = *entry.second;
+            return worker.listed && !worker.in_roster && !worker.replaced;
+          });
   if (!is_incomplete && !this->roster_is_stale) return;
   this->roster_is_stale = false;
   std::string roster;
   for (const auto& [id, worker] : this->workers) {
+    if (worker->replaced) continue;
     sent.roster_workers.push_back(id);
     roster += id.value;
     roster += '\n';
@@ -280,7 +282,9 @@
   }
   for (const base::WorkerId& id : sent.roster_workers) {
     const auto worker = this->workers.find(id);
-    if (worker != this->workers.end()) worker->second->in_roster = true;
+    if (worker == this->workers.end()) continue;
+    worker->second->in_roster = !worker->second->replaced;
+    if (worker->second->replaced) this->roster_is_stale = true;
   }
   this->scheduling_needed = true;
   std::erase_if(this->workers_with_unstored_ends, [&](WorkerState* worker) {
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -65,6 +65,7 @@
   slot->record = record;
   slot->rack = RackOf(record);
   slot->listed = true;
+  slot->replaced = false;
   this->RecordDraining(
       *slot,
       is_first_report ? this->options.worker_report_period : base::Duration(0),
@@ -216,11 +217,15 @@
 }
 
 void PoolPlanner::EndIncarnation(WorkerState& worker, const PlannerTime& time) {
+  if (worker.replaced && worker.runs.empty()) return;
   this->RecordSilence(worker, time.now);
   this->DropLostRuns(worker, true, time);
   this->ForgetIncarnation(worker, time);
   worker.lease_expires_at = {};
   this->unsynced_workers.erase(worker.record.worker);
+  worker.replaced = true;
+  this->roster_is_stale =
+      std::exchange(worker.in_roster, false) || this->roster_is_stale;
 }
 
 void PoolPlanner::DropLostRuns(WorkerState& worker, bool restarted,
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -276,6 +276,9 @@
   std::optional<base::Instant> leaves_at;
   /** Whether the stored roster of workers that may have runs contains it. */
   bool in_roster = false;
+  /** Whether another worker has answered at its address since it was listed: it
+   * has no runs, and no later planner needs to wait for it. */
+  bool replaced = false;
   /** Start time of its incarnation in Unix milliseconds, as it reported it; 0
    * until then. */
   int64_t started_at_ms = 0;
--- a/src/agatepass/pool/tests/planner_fixture.h
+++ b/src/agatepass/pool/tests/planner_fixture.h
@@ -52,6 +52,9 @@
       this->time.now += std::chrono::milliseconds(10);
       for (Effect& effect : this->planner.Advance(this->time)) {
         if (const auto* commit = std::get_if<StoreCommit>(&effect)) {
+          for (const StoreWrite& write : commit->writes) {
+            if (write.key == kWorkerRosterKey) this->roster = *write.value;
+          }
           if (!this->commits_succeed) {
             this->planner.OnCommit(commit->id,
                                    {.outcome = platform::Outcome::kNotSent},
@@ -126,6 +129,8 @@
   const TaskName task{base::JobId("a"), 0, 0, 0};
   /** Whether commits succeed; otherwise they are not sent. */
   bool commits_succeed = true;
+  /** The roster of workers as written last. */
+  std::string roster;
   std::vector<StartRequest> starts;
   std::vector<StopRequest> stops;
   std::vector<SyncRequest> syncs;
