Start nothing by capacities that may have shrunk unseen

What callers could see: a worker whose capacity shrinks while the store is away is filled beyond it (LIMIT), and a job that is larger than all workers for some seconds is rejected as one that can never run.

Cause: the planner learns of a worker's capacity by the watch of its entry alone, and went on starting tasks however old that was; and FitsAnyWorker judged by the capacity of the moment.

Change: starts are held while the latest watch of the workers that the store answered was sent longer ago than starts may count on a shrunk capacity (2.9 s by default, from the platform's bound), as a shrink may then count. Both turns are logged, and each change of a capacity with what is in use. A job is rejected for its size only if it is larger than what workers have ever reported in their present life. Runs that no longer fit go on; nothing starts beside them while free amounts are negative.

Tests: of the four of ShrinkingCapacity two failed before (outage of the store, rejection); the reported shrink and the gang that was reserved for passed already.

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -19,6 +19,10 @@
 constexpr base::Duration kUnreachableSyncDelay = std::chrono::milliseconds(800);
 /** Period at which workers report about themselves. */
 constexpr base::Duration kReportPeriod = std::chrono::milliseconds(1500);
+/** How long starts may count on a capacity that has shrunk: the time of a
+ * report and the time that the planner has to act on it. */
+constexpr base::Duration kCapacityGrace =
+    kReportPeriod + std::chrono::milliseconds(3000);
 constexpr base::Duration kCommitTimeout = std::chrono::milliseconds(1500);
 constexpr int64_t kWorkerMillicores = 8000;
 constexpr int64_t kWorkerMemoryMib = 16384;
@@ -198,6 +202,24 @@
   return record;
 }
 
+void PoolCell::SetCapacity(size_t index, const platform::Resources& total) {
+  PoolWorker& worker = *this->workers[index];
+  this->former_capacities.emplace(
+      worker.record.worker,
+      std::make_pair(this->current_time + kCapacityGrace, worker.record.total));
+  worker.record.total = total;
+  this->Schedule(kReportPeriod, [this, index] { this->ReportWorker(index); });
+}
+
+void PoolCell::ReportWorker(size_t index) {
+  if (this->faults.reports_lost) {
+    this->Schedule(kTickInterval, [this, index] { this->ReportWorker(index); });
+  } else if (pool::PoolPlanner* planner = this->planner()) {
+    planner->OnWorker(this->GetReportedRecord(*this->workers[index]),
+                      this->GetPlannerTime());
+  }
+}
+
 void PoolCell::ReportDraining(size_t index, base::Duration remaining) {
   PoolWorker& worker = *this->workers[index];
   worker.record.draining = true;
@@ -277,6 +299,9 @@
 void PoolCell::AdvancePlanner(PlannerProcess& planner) {
   if (!planner.alive || !planner.believes_it_leads) return;
   this->ConfirmLeadership(planner);
+  if (!this->faults.reports_lost) {
+    planner.planner->SetWorkersConfirmedAt(this->current_time);
+  }
   for (const pool::Effect& effect :
        planner.planner->Advance(this->GetPlannerTime())) {
     this->Execute(planner, effect);
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -48,6 +48,8 @@
   /** Planner processes that are partly cut off, by their fence: the first
    * planner of the pool has fence 1, each later one the next higher. */
   std::map<pool::Fence, PlannerCutOff> planner_cut_offs;
+  /** Whether the workers' entries in the store reach no planner. */
+  bool reports_lost = false;
   /** Share of the tasks whose first run fails. */
   double first_run_failure_share = 0;
 };
@@ -82,6 +84,9 @@
   /** The worker loses its runs and is unreachable until it restarts by itself
    * as a new incarnation. */
   void CrashAndRestartWorker(size_t index);
+  /** Changes the worker's capacity, which it reports kReportPeriod later.
+   * Starts may count on a larger one for some time. */
+  void SetCapacity(size_t index, const platform::Resources& total);
   /** Reports the worker as draining, with the time until it shuts down. Later
    * planners see the time that it reported last: it reports each
    * kReportPeriod. */
@@ -196,6 +201,10 @@
   bool DrawTrue(double probability);
   pool::CommitReply ApplyCommit(pool::Fence fence,
                                 const pool::StoreCommit& commit);
+  /** Tells the newest planner of the worker's entry, once entries reach it. */
+  void ReportWorker(size_t index);
+  /** Returns the largest capacity that starts may count on. */
+  platform::Resources FindAllowedCapacity(const PoolWorker& worker) const;
   /** Decides how a run will behave, from its job and the injected faults. */
   RunBehaviour DecideRunBehaviour(const pool::TaskName& task,
                                   pool::RunNumber run);
@@ -227,6 +236,9 @@
   /** Draining workers, with the time of their first report of it. */
   std::map<base::WorkerId, base::Instant> draining_since;
   std::set<base::WorkerId> shut_down_workers;
+  /** Capacities that workers had, and until when starts may count on them. */
+  std::multimap<base::WorkerId, std::pair<base::Instant, platform::Resources>>
+      former_capacities;
   /** Workers that crashed and have not restarted yet. */
   std::set<base::WorkerId> restarting_workers;
   std::vector<OpenSync> open_syncs;
--- a/src/agatepass/platform/resources.h
+++ b/src/agatepass/platform/resources.h
@@ -4,6 +4,7 @@
 #ifndef AGATEPASS_PLATFORM_RESOURCES_H_
 #define AGATEPASS_PLATFORM_RESOURCES_H_
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -62,6 +63,13 @@
   }
 };
 
+/** Returns the larger amount of each resource. */
+constexpr Resources Max(const Resources& left, const Resources& right) {
+  return {.millicores = std::max(left.millicores, right.millicores),
+          .memory_mib = std::max(left.memory_mib, right.memory_mib),
+          .accelerators = std::max(left.accelerators, right.accelerators)};
+}
+
 }  // namespace agatepass::platform
 
 #endif  // AGATEPASS_PLATFORM_RESOURCES_H_
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -82,7 +82,7 @@
     for (const auto& [id, worker] : this->workers) {
       if (!worker->listed || worker->record.service != service) continue;
       has_workers = true;
-      if (step.need.FitsIn(worker->record.total)) fits = true;
+      if (step.need.FitsIn(worker->largest_total)) fits = true;
     }
     if (has_workers && !fits) return false;
   }
--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -30,6 +30,10 @@
   /** Period at which workers report about themselves. A report that is read at
    * the beginning of a term may be as old. */
   base::Duration worker_report_period = std::chrono::milliseconds(1500);
+  /** Age from which the known capacities of workers are not counted on: less
+   * than the time for which starts may count on a capacity that has shrunk and
+   * was reported in time. */
+  base::Duration max_capacity_age = std::chrono::milliseconds(2900);
   /** Delay before the next sync with a worker that is about to shut down while
    * the effect of reported ends is not stored. */
   base::Duration syncs_before_shutdown_delay = std::chrono::milliseconds(100);
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -129,7 +129,7 @@
   if (!this->IsSuitable(worker, step)) return false;
   if (!worker.synced || !worker.in_roster || !worker.clock_ms) return false;
   if (time.now < worker.quarantined_until) return false;
-  if (worker.trials > 0) return false;
+  if (worker.trials > 0 || this->capacities_outdated_since) return false;
   // Urgent steps may use resources reserved for gangs; late ones may not, even
   // of the highest priority: they would take them from gangs in time.
   if (GetUrgency(step, time.now) == Urgency::kUrgent) return true;
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -57,12 +57,22 @@
     // have reached the new incarnation.
     this->ForgetIncarnation(*slot, time);
     slot->leaves_at.reset();
+    slot->largest_total = {};
   }
   if (record.draining && !slot->record.draining) {
     this->log.Add(time.now, "worker draining", "worker={} remaining_ms={}",
                   record.worker.value, base::ToMilliseconds(record.remaining));
   }
+  if (!is_first_report && record.total != slot->record.total) {
+    this->log.Add(time.now, "worker capacity changed",
+                  "worker={} millicores={} memory_mib={} accelerators={} "
+                  "millicores_before={} used_millicores={}",
+                  record.worker.value, record.total.millicores,
+                  record.total.memory_mib, record.total.accelerators,
+                  slot->record.total.millicores, slot->used.millicores);
+  }
   slot->record = record;
+  slot->largest_total = platform::Max(slot->largest_total, record.total);
   slot->rack = RackOf(record);
   slot->listed = true;
   slot->replaced = false;
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -99,6 +99,23 @@
   }
 }
 
+void PoolPlanner::CheckCapacityReports(base::Instant now) {
+  if (!this->workers_confirmed_at) return;
+  const base::Duration age = now - *this->workers_confirmed_at;
+  const bool is_outdated = age >= this->options.max_capacity_age;
+  if (is_outdated == this->capacities_outdated_since.has_value()) return;
+  if (is_outdated) {
+    this->log.Add(now, "starts held as capacities are outdated",
+                  "workers_confirmed_ms={}", base::ToMilliseconds(age));
+    this->capacities_outdated_since = now;
+  } else {
+    this->log.Add(now, "starts resumed as capacities are known", "held_ms={}",
+                  base::ToMilliseconds(now - *this->capacities_outdated_since));
+    this->capacities_outdated_since.reset();
+    this->scheduling_needed = true;
+  }
+}
+
 void PoolPlanner::SetQueues(const QueueTable& table, const PlannerTime& time) {
   if (table.version < this->queues.version) return;
   this->queues = table;
@@ -180,6 +197,7 @@
 std::vector<Effect> PoolPlanner::Advance(const PlannerTime& time) {
   if (!this->superseded) {
     this->CheckLeadership(time.now);
+    this->CheckCapacityReports(time.now);
     this->CheckWorkers(time);
     this->DropUnlistedUnsyncedWorkers(time.now);
     this->CountInheritedRisks(time);
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -160,6 +160,13 @@
         std::max(this->leadership_confirmed_at, std::optional(confirmed_at));
   }
 
+  /** Records that all changes of the workers' entries up to then are known.
+   * Until the first call capacities count as known. */
+  void SetWorkersConfirmedAt(base::Instant confirmed_at) {
+    this->workers_confirmed_at =
+        std::max(this->workers_confirmed_at, std::optional(confirmed_at));
+  }
+
   /** Whether all jobs are in the store and no cancellation waits for it, so
    * that the term may end. */
   bool IsReadyForHandover() const;
@@ -335,6 +342,9 @@
   /** Decides whether leases may be renewed and tasks be started
    * (pool_planner.cpp). */
   void CheckLeadership(base::Instant now);
+  /** Decides whether tasks may be started by the known capacities: not while
+   * one may have shrunk for too long without a report (pool_planner.cpp). */
+  void CheckCapacityReports(base::Instant now);
   /** Stops planning, as another planner has superseded this one
    * (pool_planner.cpp). */
   void EndLeadership(std::string reason);
@@ -555,6 +565,10 @@
   base::Instant term_started_at;
   /** Latest time by which no other planner had begun its term. */
   std::optional<base::Instant> leadership_confirmed_at;
+  /** Latest time up to which all changes of the workers' entries are known, and
+   * since when that is too old to count on their capacities. */
+  std::optional<base::Instant> workers_confirmed_at;
+  std::optional<base::Instant> capacities_outdated_since;
   /** Since when that is too old to renew leases and to start tasks. */
   std::optional<base::Instant> unconfirmed_since;
   /** When the leases of earlier terms have expired everywhere: runs on workers
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -266,6 +266,8 @@
 /** A worker, with the state of its current incarnation. */
 struct WorkerState {
   WorkerRecord record;
+  /** Largest amounts of each resource that it has reported. */
+  platform::Resources largest_total;
   /** Its position among all workers that the planner has seen; not reused. */
   size_t index = 0;
   base::RackId rack;
