Count a trial that was not started against no task

Cause: the next trial of a suspect was recorded with the crash, seconds before it could start.

The trial is recorded once its worker is found, one commit before its start. What remains is a planner that is lost within that commit. Test: IsNotBlamedForPlannersThatAreReplacedBeforeItsTrial; whether it fails on the code before was not run.

--- a/src/agatepass/pool/planner_crashes.cpp
+++ b/src/agatepass/pool/planner_crashes.cpp
@@ -117,8 +117,6 @@
     this->FinishJob(job, JobPhase::kFailed, time);
     return;
   }
-  // The next start is recorded with the crash.
-  task.at_risk_run = task.last_run + 1;
   this->MarkChanged(job);
   task.changes_before_trial = job.changes;
 }
--- a/src/agatepass/pool/planner_gangs.cpp
+++ b/src/agatepass/pool/planner_gangs.cpp
@@ -113,7 +113,6 @@
   }
   ++run;
   const bool on_trial = this->HasTrials(step, time.now);
-  if (on_trial && !this->IsGangTrialRecorded(step, run)) return;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& left, const Candidate& right) {
                      return left.fits > right.fits;
@@ -161,6 +160,7 @@
     this->ReserveAndRenewTickets(step, placements, time);
     return;
   }
+  if (on_trial && !this->IsGangTrialRecorded(step, run)) return;
   this->DropGangReservation(step);
   std::string checkpoint;
   for (const TaskState& task : step.tasks)
--- a/src/agatepass/pool/planner_trials.cpp
+++ b/src/agatepass/pool/planner_trials.cpp
@@ -193,7 +193,6 @@
     }
     if (time.now < task.earliest_start) continue;
     if (this->IsSuspect(task)) {
-      if (!this->IsTrialRecorded(step, i, task.last_run + 1)) continue;
       waiting_since = std::min(waiting_since.value_or(task.earliest_start),
                                task.earliest_start);
     }
@@ -213,6 +212,16 @@
         step, std::vector{std::make_pair(best->worker, fits)}, time);
     return;
   }
+  // Recorded no sooner than it can start: a next planner counts what it finds
+  // nowhere, started or not.
+  bool recorded = true;
+  for (const uint32_t index : std::span(indices).first(fits)) {
+    const TaskState& task = step.tasks[index];
+    if (!this->IsSuspect(task)) continue;
+    if (!this->IsTrialRecorded(step, index, task.last_run + 1))
+      recorded = false;
+  }
+  if (!recorded) return;
   for (const uint32_t index : std::span(indices).first(fits)) {
     this->StartTask(step, index, step.tasks[index].last_run + 1, *best->worker,
                     time);
--- a/src/agatepass/pool/tests/crashing_task_test.cpp
+++ b/src/agatepass/pool/tests/crashing_task_test.cpp
@@ -155,6 +155,22 @@
   EXPECT_EQ(this->PhaseOf("innocent"), JobPhase::kSucceeded);
 }
 
+// Nothing is started in these terms.
+TEST_F(CrashingTask, IsNotBlamedForPlannersThatAreReplacedBeforeItsTrial) {
+  this->cell.RunFor(seconds(1));
+  this->cell.Submit(MakePoolJob("innocent", 2, 500, seconds(4)));
+  this->cell.RunFor(milliseconds(100));
+  for (size_t i = 0; i < kWorkers; ++i) this->cell.CrashAndRestartWorker(i);
+  this->cell.RunFor(seconds(2));
+  for (int i = 0; i < 8; ++i) {
+    this->cell.KillPlanners(milliseconds(100));
+    this->cell.RunFor(milliseconds(600));
+  }
+  this->cell.RunFor(seconds(60));
+  this->ExpectNoViolations();
+  EXPECT_EQ(this->PhaseOf("innocent"), JobPhase::kSucceeded);
+}
+
 TEST_F(CrashingTask, IsNotBlamedForWorkersThatAreCutOff) {
   this->cell.RunFor(seconds(1));
   this->cell.Submit(MakePoolJob("innocent", 2, 500, seconds(4)));
