--- a/src/agatepass/pool/tests/crashing_task_test.cpp
+++ b/src/agatepass/pool/tests/crashing_task_test.cpp
@@ -155,16 +155,24 @@
   EXPECT_EQ(this->PhaseOf("innocent"), JobPhase::kSucceeded);
 }
 
-// Nothing is started in these terms.
+// Each planner is lost while the trial still waits for advice.
 TEST_F(CrashingTask, IsNotBlamedForPlannersThatAreReplacedBeforeItsTrial) {
+  this->cell.restart_duration = milliseconds(400);
+  this->cell.queues.queues[0].policy.advice =
+      AdvicePolicy{.call_duration = seconds(1), .ticket_lifetime = seconds(2)};
+  this->cell.ReplacePlanner();
   this->cell.RunFor(seconds(1));
   this->cell.Submit(MakePoolJob("innocent", 2, 500, seconds(4)));
+  const TaskName innocent{base::JobId("innocent"), 0, 0, 0};
+  while (this->cell.CountStarts(innocent) == 0) {
+    this->cell.RunFor(milliseconds(20));
+  }
   this->cell.RunFor(milliseconds(100));
   for (size_t i = 0; i < kWorkers; ++i) this->cell.CrashAndRestartWorker(i);
-  this->cell.RunFor(seconds(2));
+  this->cell.RunFor(milliseconds(300));
   for (int i = 0; i < 8; ++i) {
     this->cell.KillPlanners(milliseconds(100));
-    this->cell.RunFor(milliseconds(600));
+    this->cell.RunFor(milliseconds(900));
   }
   this->cell.RunFor(seconds(60));
   this->ExpectNoViolations();
