--- a/src/agatepass/base/loop_lag_meter.cpp
+++ b/src/agatepass/base/loop_lag_meter.cpp
@@ -20,12 +20,14 @@
   this->estimate = std::max(lag, decayed);
 }
 
-LoopLagMeter::LoopLagMeter(EventLoop& loop) : loop(loop) {
+LoopLagMeter::LoopLagMeter(EventLoop& loop, EventPriority priority)
+    : loop(loop) {
   this->probe = std::make_unique<LoopEvent>(loop.handle(), -1, 0, [this] {
     if (!this->probe_due_at) return;
     this->estimate.OnProbe(this->loop.Now() - *this->probe_due_at);
     this->probe_due_at.reset();
   });
+  this->probe->SetPriority(priority);
   this->timer = loop.Every(
       kProbePeriod, [this] { this->Probe(); }, EventPriority::kControl);
 }
--- a/src/agatepass/base/loop_lag_meter.h
+++ b/src/agatepass/base/loop_lag_meter.h
@@ -1,6 +1,6 @@
 /** \file
- * Measures how late an event loop runs its bulk events, because more are due
- * than the processor can handle.
+ * Measures how late an event loop runs the events of one priority, because more
+ * are due than the processor can handle.
  */
 #ifndef AGATEPASS_BASE_LOOP_LAG_METER_H_
 #define AGATEPASS_BASE_LOOP_LAG_METER_H_
@@ -37,7 +37,9 @@
  */
 class LoopLagMeter {
  public:
-  explicit LoopLagMeter(EventLoop& loop);
+  /** \param priority priority of the events whose lag is measured. */
+  explicit LoopLagMeter(EventLoop& loop,
+                        EventPriority priority = EventPriority::kBulk);
 
   /** How long an event that is due now is likely to wait. */
   Duration lag() const;
--- a/src/agatepass/pool/planner_counts.h
+++ b/src/agatepass/pool/planner_counts.h
@@ -4,8 +4,11 @@
 #ifndef AGATEPASS_POOL_PLANNER_COUNTS_H_
 #define AGATEPASS_POOL_PLANNER_COUNTS_H_
 
+#include <cstddef>
 #include <cstdint>
 
+#include "agatepass/base/time.h"
+
 namespace agatepass::pool {
 
 /** Counts of one leadership term. */
@@ -45,6 +48,19 @@
   uint64_t workers_examined = 0;
 };
 
+/** Work that waits at one moment. */
+struct PlannerBacklog {
+  size_t open_jobs = 0;
+  /** Ready steps in the last scheduling pass. */
+  size_t ready_steps = 0;
+  /** Runs whose start is requested and not confirmed. */
+  size_t unconfirmed_starts = 0;
+  /** Syncs that should have been answered, and the time by which the answer to
+   * the oldest of them is late. */
+  size_t late_syncs = 0;
+  base::Duration oldest_late_sync{0};
+};
+
 }  // namespace agatepass::pool
 
 #endif  // AGATEPASS_POOL_PLANNER_COUNTS_H_
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -13,6 +13,11 @@
   this->sync_queue.push_back(&worker);
 }
 
+base::Duration PoolPlanner::SyncWait(const WorkerState& worker) const {
+  return worker.runs.empty() ? this->options.idle_sync_wait
+                             : this->options.sync_wait;
+}
+
 void PoolPlanner::SendSyncs(const PlannerTime& time) {
   std::vector<WorkerState*> queued;
   queued.swap(this->sync_queue);
@@ -24,6 +29,8 @@
       const bool long_poll = worker->synced && worker->unstored_ends.empty() &&
                              worker->unanswered_calls == 0;
       worker->sync_in_flight = true;
+      worker->sync_due_at =
+          time.now + (long_poll ? this->SyncWait(*worker) : base::Duration(0));
       worker->quick_sync_wanted = worker->quick_sync_wanted && long_poll;
       this->SendSync(*worker, long_poll, time);
     }
@@ -58,8 +65,7 @@
     request.lease_until_ms = this->LeaseOnWorkerClock(worker, time.now);
   }
   if (long_poll) {
-    request.max_wait = worker.runs.empty() ? this->options.idle_sync_wait
-                                           : this->options.sync_wait;
+    request.max_wait = this->SyncWait(worker);
   }
   if (request.lease_until_ms) this->RecordLease(worker, time.now);
   this->effects.push_back(std::move(request));
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -181,6 +181,9 @@
     return this->store_health.IsFailing(now);
   }
 
+  /** Returns how much work waits, and for what. */
+  PlannerBacklog MeasureBacklog(base::Instant now) const;
+
   /** Returns the millicores in use and the total millicores of all listed
    * workers. */
   std::pair<int64_t, int64_t> GetProcessorUsage() const;
@@ -280,6 +283,8 @@
 
   // planner_syncs.cpp
   void SendSyncs(const PlannerTime& time);
+  /** How long the worker may hold a sync open. */
+  base::Duration SyncWait(const WorkerState& worker) const;
   void QueueSync(WorkerState& worker);
   void SendSync(WorkerState& worker, bool long_poll, const PlannerTime& time);
   /** Handles a sync that failed or was not answered, and schedules the next
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -291,6 +291,8 @@
    * one. */
   std::optional<base::Instant> incarnation_changed_at;
   bool sync_in_flight = false;
+  /** When the worker should have answered the sync in flight. */
+  base::Instant sync_due_at;
   /** Whether the planner's queue of syncs to send has it. */
   bool in_sync_queue = false;
   /** Whether a sync without a long poll is needed beside the one in flight, and
