Answer hellos before all else, and advice not before what workers say

Callers of the large deployment saw a cell that fell over in a burst and never came back: the answers of workers (ends, syncs, lease renewals) were not read for whole terms, and a planner whose control events waited for 6 ms was replaced for silence.

Cause: events of a higher priority go strictly first, and the control class held traffic without a bound: each answer of the advice service and each call of a caller. Hellos, which are few, shared connections with these, and the first request on a connection (after each call that timed out, as its neighbours are closed) waited behind all bulk events.

Now the control class is bounded by construction: store, ticks, and hellos on connections of their own. Advice and callers' calls are bulk, like the answers of workers, in the order in which they arrive. Opening and accepting connections has a priority between the two, which is the one that libevent gives them.

--- a/src/agatepass/base/event_loop.cpp
+++ b/src/agatepass/base/event_loop.cpp
@@ -17,8 +17,8 @@
 constexpr int kMaxBulkHandlers = 32;
 constexpr Duration kMaxBulkTime = std::chrono::milliseconds(5);
 
-/** Number of values of EventPriority; events without one get the last. */
-constexpr int kPriorities = 2;
+/** Number of values of EventPriority; events without one get the middle. */
+constexpr int kPriorities = 3;
 
 timeval ToTimeval(Duration delay) {
   const int64_t microseconds = std::max<int64_t>(delay.count(), 0);
@@ -34,6 +34,7 @@
                      std::function<void()> handler)
     : handler(std::move(handler)) {
   this->handle = event_new(loop, descriptor, what, &LoopEvent::Fire, this);
+  this->SetPriority(EventPriority::kBulk);
 }
 
 LoopEvent::~LoopEvent() { event_free(this->handle); }
@@ -75,6 +76,7 @@
         static_cast<EventLoop*>(self)->RunMessages();
       },
       this);
+  event_priority_set(this->wake, static_cast<int>(EventPriority::kBulk));
   event_add(this->wake, nullptr);
 }
 
--- a/src/agatepass/base/event_loop.h
+++ b/src/agatepass/base/event_loop.h
@@ -17,10 +17,14 @@
 
 namespace agatepass::base {
 
-/** Which events run first when several are due. */
+/** Which events run first when several are due. An event waits for as long as
+ * others of a higher priority are due: these must be few, whatever the load. */
 enum class EventPriority : uint8_t {
   /** Few and short, and late ones do harm: leases, health checks of peers. */
   kControl,
+  /** Opening and accepting connections, and the first request on each. libevent
+   * gives all of these the middle priority. */
+  kConnection,
   /** All others. */
   kBulk,
 };
--- a/src/agatepass/base/http_client.h
+++ b/src/agatepass/base/http_client.h
@@ -24,7 +24,7 @@
   /** Idle time after which a connection is closed rather than used again. */
   Duration idle_time = std::chrono::seconds(20);
   /** Priority of the events of its connections, from the second request on
-   * each. */
+   * each; before, it is kConnection. */
   EventPriority priority = EventPriority::kBulk;
 };
 
--- a/src/agatepass/base/http_server.cpp
+++ b/src/agatepass/base/http_server.cpp
@@ -148,10 +148,6 @@
 void HttpServer::Receive(evhttp_request* request) {
   auto state = std::make_shared<HttpResponder::State>();
   state->request = request;
-  // libevent gives a connection no priority of its own when it is accepted.
-  bufferevent_priority_set(
-      evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)),
-      static_cast<int>(this->priority));
   this->responders->push_back(state);
   state->on_done = [responders = this->responders, raw = state.get()] {
     std::erase_if(*responders,
@@ -164,6 +160,12 @@
   received.headers = CopyHeaders(evhttp_request_get_input_headers(request));
   ReadTarget(request, &received);
   received.body = CopyBody(request);
+  const EventPriority connection_priority = this->priority != nullptr
+                                                ? this->priority(received)
+                                                : EventPriority::kBulk;
+  bufferevent_priority_set(
+      evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)),
+      static_cast<int>(connection_priority));
   this->handler(std::move(received), HttpResponder(std::move(state)));
 }
 
--- a/src/agatepass/base/http_server.h
+++ b/src/agatepass/base/http_server.h
@@ -27,9 +27,9 @@
   size_t body_bytes = 1024 * 1024;
   /** Time after which a silent connection is closed. */
   Duration idle_time = std::chrono::seconds(60);
-  /** Priority of the events of its connections, from the second request on
-   * each. */
-  EventPriority priority = EventPriority::kBulk;
+  /** Returns the priority of a connection's events after this request; kBulk
+   * for all if it is null. */
+  EventPriority (*priority)(const HttpRequest&) = nullptr;
 };
 
 /** The open end of one request: answers it once, now or later.
@@ -97,7 +97,7 @@
   void Receive(evhttp_request* request);
 
   Handler handler;
-  EventPriority priority;
+  EventPriority (*priority)(const HttpRequest&) = nullptr;
   evhttp* server = nullptr;
   evhttp_bound_socket* socket = nullptr;
   Endpoint bound;
--- a/src/agatepass/base/tests/http_test.cpp
+++ b/src/agatepass/base/tests/http_test.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -130,5 +131,36 @@
   close(descriptor);
 }
 
+// A hello must not wait behind all that is due, not even the first one.
+TEST_F(Http, FirstRequestOnAConnectionDoesNotWaitForAllBulkEvents) {
+  HttpServer server(
+      this->loop,
+      {.priority = [](const HttpRequest&) { return EventPriority::kControl; }},
+      [](const HttpRequest&, const HttpResponder& responder) {
+        responder.Respond({.status = 200});
+      });
+  HttpClient hello_client(this->loop, {.priority = EventPriority::kControl});
+  ASSERT_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  constexpr size_t kBulkEvents = 3000;
+  size_t bulk_handled = 0;
+  std::vector<std::unique_ptr<LoopEvent>> bulk;
+  for (size_t i = 0; i < kBulkEvents; ++i) {
+    bulk.push_back(
+        this->loop.After(Duration(0), [this, &bulk, &bulk_handled, i] {
+          if (++bulk_handled == 4 * kBulkEvents) this->loop.Stop();
+          bulk[i]->Arm(Duration(0));
+        }));
+  }
+  std::optional<size_t> handled_before_answer;
+  hello_client.Send(server.endpoint(), {.path = "/"}, std::chrono::seconds(5),
+                    [&](const HttpOutcome& /*outcome*/) {
+                      handled_before_answer = bulk_handled;
+                      this->loop.Stop();
+                    });
+  this->loop.Run();
+  ASSERT_TRUE(handled_before_answer.has_value());
+  EXPECT_LT(*handled_before_answer, kBulkEvents);
+}
+
 }  // namespace
 }  // namespace agatepass::base
--- a/src/agatepass/pool/peer_call.cpp
+++ b/src/agatepass/pool/peer_call.cpp
@@ -83,6 +83,10 @@
   return request;
 }
 
+bool IsHello(const base::HttpRequest& request) {
+  return request.path == kPaths[static_cast<size_t>(PeerVerb::kHello)];
+}
+
 std::optional<PeerCall> DecodePeerCall(const base::HttpRequest& request) {
   size_t verb = 0;
   while (verb < kPaths.size() && kPaths[verb] != request.path) ++verb;
--- a/src/agatepass/pool/peer_call.h
+++ b/src/agatepass/pool/peer_call.h
@@ -73,6 +73,9 @@
 /** Returns the HTTP request of a call. */
 base::HttpRequest EncodePeerCall(const PeerCall& call);
 
+/** Whether the request is a hello, which is to be answered before all else. */
+bool IsHello(const base::HttpRequest& request);
+
 /** Parses a call.
  * \return the call; std::nullopt if the request is malformed. */
 std::optional<PeerCall> DecodePeerCall(const base::HttpRequest& request);
