Limit starts and queries for advice in flight by how late their answers are

What was sent beyond what the planner, or its link, could handle waited, and behind it the ends that make room and the syncs that renew leases. Calls then timed out, were repeated, and made it worse.

- ConcurrencyLimit: starts without an answer, and queries for advice, are limited.
Advice counts only the lateness of this process, as the service may be slow by itself.
A pass ends when no start may be sent.

--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -68,6 +68,7 @@
   AdviceState& advice = step.advice;
   if (advice.in_flight || time.now < advice.retry_at) return;
   if (time.now < advice.next_look_at) return;
+  if (!this->advice_limit.HasRoom()) return;
   std::vector<AdviceCandidate> candidates =
       this->FindAdviceCandidates(step, time);
   uint32_t fitting_tasks = 0;
@@ -111,7 +112,7 @@
   StepState& step = *reservation.step;
   AdviceState& advice = step.advice;
   if (advice.in_flight || time.now < advice.retry_at ||
-      time.now < advice.next_look_at) {
+      time.now < advice.next_look_at || !this->advice_limit.HasRoom()) {
     return;
   }
   const AdvicePolicy& policy = *step.job->policy.advice;
@@ -155,6 +156,7 @@
         advice->call_duration + advice->duration_per_worker *
                                     static_cast<int64_t>(query.workers.size());
   }
+  this->advice_limit.OnSent();
   step.advice.in_flight = true;
   step.advice.asked_at = time.now;
   step.advice.query_workers = query.workers;
@@ -165,6 +167,8 @@
 void PoolPlanner::OnAdvice(const base::JobId& job, uint32_t occurrence,
                            uint32_t step_number, const AdviceReply& reply,
                            const PlannerTime& time) {
+  // The service may be slow too: only a late reader is a reason to ask less.
+  this->advice_limit.OnDone(this->input_lag, time.now);
   StepState* step = this->FindStep({job, occurrence, step_number, 0});
   if (step == nullptr || !step->advice.in_flight) return;
   AdviceState& advice = step->advice;
@@ -216,7 +220,8 @@
                 step_number, advice.query_workers.size(), reply.tickets.size(),
                 base::ToMilliseconds(time.now - advice.asked_at));
   // Placed immediately, before other steps take the capacity that was reserved.
-  if (!this->handing_over && !this->superseded && this->IsReady(*step, time)) {
+  if (!this->handing_over && !this->superseded && this->start_limit.HasRoom() &&
+      this->IsReady(*step, time)) {
     this->PlaceStep(*step, time);
   }
 }
--- a/src/agatepass/pool/planner_counts.h
+++ b/src/agatepass/pool/planner_counts.h
@@ -55,6 +55,9 @@
   size_t ready_steps = 0;
   /** Runs whose start is requested and not confirmed. */
   size_t unconfirmed_starts = 0;
+  /** Starts and queries for advice that may be in flight. */
+  double start_limit = 0;
+  double advice_limit = 0;
   /** Syncs that should have been answered, and the time by which the answer to
    * the oldest of them is late. */
   size_t late_syncs = 0;
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -28,6 +28,8 @@
   const std::vector<StepState*> ready = this->CollectReadySteps(time);
   this->ready_steps = ready.size();
   for (StepState* step : ready) {
+    // What is sent in vain would delay the ends that make room.
+    if (!this->start_limit.HasRoom()) break;
     if (!step->ticket_reservations.empty() &&
         time.now >= step->ticket_reservations_until) {
       this->ReleaseTicketReservations(*step);
@@ -36,7 +38,8 @@
   }
   const uint64_t examined = this->totals.workers_examined - examined_before;
   this->earliest_scheduling_at =
-      time.now + this->TimeToExamine(static_cast<double>(examined));
+      time.now +
+      this->TimeToExamine(static_cast<double>(examined + this->open.size()));
 }
 
 base::Duration PoolPlanner::TimeToExamine(double workers) const {
@@ -212,6 +215,7 @@
     if (task.succeeded || task.current_run != nullptr) continue;
     if (time.now < task.earliest_start) continue;
     if (this->NeedsTrial(step, task, time.now)) continue;
+    if (!this->start_limit.HasRoom()) break;
     Candidate* best = nullptr;
     for (Candidate& candidate : candidates) {
       if (candidate.fits == 0) continue;
@@ -255,6 +259,7 @@
   this->RecordLease(worker, time.now);
   if (job.phase == JobPhase::kQueued) job.phase = JobPhase::kRunning;
   ++this->totals.starts;
+  this->start_limit.OnSent();
   this->log.Add(
       time.now, "start requested",
       "task={} run={} worker={} since_accepted_ms={} free_millicores={}",
@@ -278,6 +283,7 @@
     const PlannerTime& time) {
   if (step.advice.in_flight || time.now < step.advice.retry_at) return;
   if (time.now < step.advice.next_look_at) return;
+  if (!this->advice_limit.HasRoom()) return;
   this->ReleaseTicketReservations(step);
   std::vector<base::WorkerId> workers_to_name;
   for (const auto& [worker, count] : plan) {
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -232,6 +232,10 @@
     return;
   }
   RunState* run = this->FindRun(task, number);
+  this->start_limit.OnDone(
+      run == nullptr ? base::Duration(0) : time.now - run->start_requested_at,
+      time.now);
+  this->scheduling_needed = true;
   if (run == nullptr) return;
   WorkerState& worker = *run->worker;
   const bool may_be_former =
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -8,6 +8,17 @@
 
 namespace agatepass::pool {
 
+namespace {
+
+/** Lag of the inputs from which ends are gathered. */
+constexpr base::Duration kMinLagToGather = std::chrono::milliseconds(20);
+
+/** Longest time for which a late planner leaves a worker without a sync: short
+ * beside its lease. */
+constexpr base::Duration kMaxGatheringTime = std::chrono::milliseconds(300);
+
+}  // namespace
+
 void PoolPlanner::QueueSync(WorkerState& worker) {
   if (std::exchange(worker.in_sync_queue, true)) return;
   this->sync_queue.push_back(&worker);
@@ -143,6 +154,10 @@
     this->unsynced_workers.erase(request.worker);
   }
   worker.next_sync = time.now;
+  // A late planner gathers ends: one answer with several costs little more.
+  if (this->input_lag >= kMinLagToGather) {
+    worker.next_sync += std::min(this->input_lag, kMaxGatheringTime);
+  }
   if (!worker.unstored_ends.empty()) {
     worker.next_sync += this->IsAboutToShutDown(worker, time.now)
                             ? this->options.syncs_before_shutdown_delay
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -230,7 +230,9 @@
 
 PlannerBacklog PoolPlanner::MeasureBacklog(base::Instant now) const {
   PlannerBacklog backlog{.open_jobs = this->open.size(),
-                         .ready_steps = this->ready_steps};
+                         .ready_steps = this->ready_steps,
+                         .start_limit = this->start_limit.limit(),
+                         .advice_limit = this->advice_limit.limit()};
   for (const auto& [key, run] : this->runs) {
     if (run->phase == RunPhase::kStartRequested) ++backlog.unconfirmed_starts;
   }
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -22,6 +22,7 @@
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/pool/advice_choice.h"
+#include "agatepass/pool/concurrency_limit.h"
 #include "agatepass/pool/crash_watch.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
@@ -167,6 +168,9 @@
         std::max(this->workers_confirmed_at, std::optional(confirmed_at));
   }
 
+  /** Records how long inputs wait at present before they are passed in. */
+  void SetInputLag(base::Duration lag) { this->input_lag = lag; }
+
   /** Whether all jobs are in the store and no cancellation waits for it, so
    * that the term may end. */
   bool IsReadyForHandover() const;
@@ -556,6 +560,10 @@
   timeline::DecisionLog& log;
   QueueTable queues;
   AllowedShareEstimator allowed_shares;
+  /** Starts without an answer, and queries for advice. */
+  ConcurrencyLimit start_limit;
+  ConcurrencyLimit advice_limit;
+  base::Duration input_lag{0};
   PlannerCounts totals;
   bool handing_over = false;
   bool superseded = false;
