Count no crash when a lease ran out because the planner was late

A run that is lost with an expired lease counts only if its worker was silent before: a call to it was not answered, or another incarnation answers. The line "runs lost" says which (was_silent).

--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -246,10 +246,10 @@
   const base::Instant silent_at =
       worker.silence ? worker.silence->since : time.now;
   this->log.Add(time.now, "runs lost",
-                "worker={} runs={} unproven_jobs={} silent_ms={} "
+                "worker={} runs={} unproven_jobs={} was_silent={} silent_ms={} "
                 "unexplained_silences={} reason=\"{}\"",
                 worker.record.worker.value, worker.runs.size(),
-                CountUnprovenJobs(worker),
+                CountUnprovenJobs(worker), worker.silence.has_value(),
                 base::ToMilliseconds(time.now - silent_at),
                 this->CountUnexplainedSilences(silent_at),
                 restarted ? "another worker incarnation answers at its address"
@@ -265,7 +265,9 @@
                   base::ToMilliseconds(time.now - worker.last_answer_at),
                   base::ToMilliseconds(silent_at - run->start_requested_at),
                   base::ToMilliseconds(run->survived), run->on_trial);
-    this->RecordCrash(*run, restarted, time);
+    // The lease of a worker that was never silent ran out because this planner
+    // was late.
+    if (restarted || worker.silence) this->RecordCrash(*run, restarted, time);
     this->HandleAbsentRun(*run, time.now, time);
   }
 }
