Read large pages of the store for as long as their bytes arrive

On the small twin (links of 2 Mbit/s) a takeover never ended: a new planner asked for all jobs, all progress and the roster side by side, each with the time limit of a small call (0.4 s), got none whole in time, and asked again, which filled its link anew.

Ruled out: the processor (0.02 cores). The new test fails with the former limit, which it plays too.

--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -101,8 +102,12 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  void Start(const HttpRequest& request, Duration timeout, Callback on_end) {
+  void Start(const HttpRequest& request, Duration timeout, Callback on_end,
+             TimeLimit limit) {
     this->callback = std::move(on_end);
+    this->longest_silence =
+        limit == TimeLimit::kSilence ? timeout : Duration(0);
+    this->answer_until = this->client.loop.Now() + kMaxSilences * timeout;
     this->bytes_written = 0;
     this->bytes_read = 0;
     this->fault.clear();
@@ -158,7 +163,12 @@
 
   static void OnRead(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
                      void* argument) {
-    static_cast<Connection*>(argument)->bytes_read += info->n_added;
+    auto* self = static_cast<Connection*>(argument);
+    self->bytes_read += info->n_added;
+    if (info->n_added == 0 || self->longest_silence.count() == 0) return;
+    if (!self->callback) return;
+    self->timer->Arm(std::min(self->longest_silence,
+                              self->answer_until - self->client.loop.Now()));
   }
 
   static void OnAnswer(evhttp_request* message, void* argument) {
@@ -247,6 +257,10 @@
   std::unique_ptr<LoopEvent> timer;
   Callback callback;
   std::string fault;
+  /** With TimeLimit::kSilence: the timeout, and when the answer must be whole;
+   * otherwise the former is zero. */
+  Duration longest_silence{0};
+  Instant answer_until;
   size_t bytes_written = 0;
   size_t bytes_read = 0;
   bool closed = false;
@@ -262,12 +276,12 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::Send(const Endpoint& endpoint, const HttpRequest& request,
-                      Duration timeout, Callback callback) {
+                      Duration timeout, Callback callback, TimeLimit limit) {
   std::unique_ptr<Connection> connection = this->TakeIdle(endpoint);
   if (!connection) connection = std::make_unique<Connection>(*this, endpoint);
   Connection* raw = connection.get();
   this->active.emplace(raw, std::move(connection));
-  raw->Start(request, timeout, std::move(callback));
+  raw->Start(request, timeout, std::move(callback), limit);
 }
 
 std::unique_ptr<HttpClient::Connection> HttpClient::TakeIdle(
--- a/src/agatepass/base/http_client.h
+++ b/src/agatepass/base/http_client.h
@@ -6,6 +6,7 @@
 #define AGATEPASS_BASE_HTTP_CLIENT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -28,6 +29,15 @@
   EventPriority priority = EventPriority::kBulk;
 };
 
+/** What the time limit of a request bounds. */
+enum class TimeLimit : uint8_t {
+  /** The time until the whole answer has arrived. */
+  kAnswer,
+  /** The time without a byte of the answer, for large answers over slow links.
+   * The whole answer may take HttpClient::kMaxSilences times as long. */
+  kSilence,
+};
+
 /** Sends requests over pooled connections, one request at a time on each.
  *
  * A connection whose request got no whole answer is closed and never used
@@ -49,9 +59,15 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /** Sends `request`; `callback` runs once, from the loop, within `timeout`. */
+  /** Sends `request`; `callback` runs once, from the loop, within `timeout`.
+   * \param limit what `timeout` bounds. */
   void Send(const Endpoint& endpoint, const HttpRequest& request,
-            Duration timeout, Callback callback);
+            Duration timeout, Callback callback,
+            TimeLimit limit = TimeLimit::kAnswer);
+
+  /** Time that a whole answer may take, in timeouts, with TimeLimit::kSilence.
+   */
+  static constexpr int kMaxSilences = 10;
 
   /** Requests without an outcome so far. */
   size_t in_flight() const { return this->active.size(); }
--- a/src/agatepass/base/tests/http_closing_server_test.cpp
+++ b/src/agatepass/base/tests/http_closing_server_test.cpp
@@ -183,5 +183,44 @@
   close(queued);
 }
 
+// A takeover on a slow link never got its jobs: each page took longer than the
+// timeout of a call.
+TEST_F(HttpClosingServer, ALargeAnswerOverASlowLinkIsReadWhileItsBytesArrive) {
+  constexpr int kPieces = 12;
+  constexpr auto kPause = milliseconds(50);
+  constexpr auto kTimeout = milliseconds(400);
+  static_assert(kPieces * kPause > kTimeout);
+  for (const TimeLimit limit : {TimeLimit::kAnswer, TimeLimit::kSilence}) {
+    ListeningSocket server(1);
+    std::thread thread([&] {
+      const int connection = accept(server.descriptor, nullptr, nullptr);
+      std::vector<char> request(4096);
+      EXPECT_GT(recv(connection, request.data(), request.size(), 0), 0);
+      const std::string head =
+          fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", kPieces);
+      send(connection, head.data(), head.size(), MSG_NOSIGNAL);
+      for (int i = 0; i < kPieces; ++i) {
+        std::this_thread::sleep_for(kPause);
+        send(connection, "x", 1, MSG_NOSIGNAL);
+      }
+      close(connection);
+    });
+    std::optional<HttpOutcome> outcome;
+    this->client.Send(
+        server.endpoint(), {.path = "/"}, kTimeout,
+        [&](HttpOutcome ended) {
+          outcome = std::move(ended);
+          this->loop.Stop();
+        },
+        limit);
+    this->loop.Run();
+    thread.join();
+    const bool expect_whole = limit == TimeLimit::kSilence;
+    EXPECT_EQ(outcome->delivery,
+              expect_whole ? Delivery::kAnswered : Delivery::kUnknown);
+    EXPECT_EQ(outcome->answer.body.size(), expect_whole ? kPieces : 0U);
+  }
+}
+
 }  // namespace
 }  // namespace agatepass::base
