Show in the stand-in that a planner short of processor time keeps its leases

The stand-in gets a time that a planner takes for each answer of a worker or of the advice service, which it handles one after the other.

--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -50,6 +50,9 @@
   std::map<pool::Fence, PlannerCutOff> planner_cut_offs;
   /** Whether the workers' entries in the store reach no planner. */
   bool reports_lost = false;
+  /** Time that a planner takes to handle an answer of a worker or of the advice
+   * service; it handles them one after the other. */
+  base::Duration answer_handling_time{0};
   /** Share of the tasks whose first run fails. */
   double first_run_failure_share = 0;
 };
@@ -157,6 +160,8 @@
     pool::LeadershipEvidence evidence;
     pool::Fence fence = 0;
     bool alive = true;
+    /** When it has handled all answers that have arrived. */
+    base::Instant busy_until;
     /** Whether it has not reported the loss of its leadership. A replaced
      * planner stays true until it does. */
     bool believes_it_leads = true;
@@ -172,6 +177,8 @@
   };
 
   pool::PlannerTime GetPlannerTime() const;
+  /** Lets the planner handle an answer once it has handled those before. */
+  void HandleInTurn(PlannerProcess& planner, std::function<void()> handle);
   void Schedule(base::Duration delay, std::function<void()> action);
   void StartPlanner();
   void AdvancePlanner(PlannerProcess& planner);
@@ -183,6 +190,7 @@
   void ExecuteStart(PlannerProcess& planner, const pool::StartRequest& request);
   void ExecuteStop(PlannerProcess& planner, const pool::StopRequest& request);
   void ExecuteSync(PlannerProcess& planner, const pool::SyncRequest& request);
+  void ExecuteAdvice(PlannerProcess& planner, const pool::AdviceQuery& query);
   void ExecuteCommit(PlannerProcess& planner, const pool::StoreCommit& commit);
   void AnswerSync(const OpenSync& sync);
   void AnswerDueSyncs();
--- a/fakes/pool_cell_links.cpp
+++ b/fakes/pool_cell_links.cpp
@@ -57,4 +57,41 @@
       planner.evidence.ConfirmedAt(this->current_time));
 }
 
+void PoolCell::HandleInTurn(PlannerProcess& planner,
+                            std::function<void()> handle) {
+  const auto handle_if_alive = [&planner, handle = std::move(handle)] {
+    if (planner.alive) handle();
+  };
+  if (this->faults.answer_handling_time.count() == 0) {
+    handle_if_alive();
+    return;
+  }
+  planner.busy_until = std::max(planner.busy_until, this->current_time) +
+                       this->faults.answer_handling_time;
+  this->Schedule(planner.busy_until - this->current_time, handle_if_alive);
+}
+
+void PoolCell::ExecuteAdvice(PlannerProcess& planner,
+                             const pool::AdviceQuery& query) {
+  this->Schedule(query.expected_duration, [this, &planner, query] {
+    pool::AdviceReply reply{.answered = true,
+                            .ticket_lifetime = std::chrono::seconds(2)};
+    for (const base::WorkerId& worker : query.workers) {
+      // w0 and w1 get tickets for every job. Each other worker gets them for
+      // about half of the jobs; the hash gives repeated queries the same
+      // answer.
+      const size_t hash =
+          std::hash<std::string>()(query.job.value + worker.value);
+      const bool gets_all_tickets =
+          worker.value == "w0" || worker.value == "w1";
+      if (gets_all_tickets || hash % 2 == 0)
+        reply.tickets.push_back({worker, "ticket"});
+    }
+    this->HandleInTurn(planner, [this, &planner, query, reply] {
+      planner.planner->OnAdvice(query.job, query.occurrence, query.step, reply,
+                                this->GetPlannerTime());
+    });
+  });
+}
+
 }  // namespace agatepass::fakes
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -12,6 +12,9 @@
  */
 constexpr base::Duration kRestartDelay = std::chrono::milliseconds(20);
 
+/** How often a call waits for the event loop until its answer is read. */
+constexpr int kLagsPerCall = 4;
+
 /** Time within which a start without an answer may be carried out late. */
 constexpr base::Duration kMaxStartDelay = std::chrono::seconds(15);
 
@@ -224,6 +227,12 @@
   }
 }
 
+base::Duration PoolPlanner::DelayBeyondLag(const RunState& run,
+                                           base::Instant now) const {
+  const base::Duration delay = now - run.start_requested_at;
+  return std::max(delay - kLagsPerCall * this->input_lag, this->input_lag);
+}
+
 void PoolPlanner::OnStart(const TaskName& task, RunNumber number,
                           const StartStopReply& reply,
                           const PlannerTime& time) {
@@ -233,7 +242,7 @@
   }
   RunState* run = this->FindRun(task, number);
   this->start_limit.OnDone(
-      run == nullptr ? base::Duration(0) : time.now - run->start_requested_at,
+      run == nullptr ? this->input_lag : this->DelayBeyondLag(*run, time.now),
       time.now);
   this->scheduling_needed = true;
   if (run == nullptr) return;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -458,6 +458,9 @@
   RunState& AddRun(const TaskName& task, RunNumber run, WorkerState& worker,
                    StepState* step, const platform::Resources& need);
   RunState* FindRun(const TaskName& task, RunNumber run);
+  /** Returns how long the answer to a run's start took on the way and at the
+   * worker, or how late this process is, if that is more. */
+  base::Duration DelayBeyondLag(const RunState& run, base::Instant now) const;
   void ReleaseRun(RunState& run);
   void RequestStop(RunState& run, base::Instant at);
   void StopGangMembers(StepState& step, RunNumber run, base::Instant now);
--- a/src/agatepass/pool/tests/late_planner_test.cpp
+++ b/src/agatepass/pool/tests/late_planner_test.cpp
@@ -4,6 +4,7 @@
 namespace agatepass::pool {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 class LatePlanner : public PlannerFixture {};
@@ -31,5 +32,33 @@
   EXPECT_EQ(this->planner.open_jobs(), 1U);
 }
 
+// A burst took a planner that is short of processor time so far behind that the
+// leases of healthy workers ran out.
+TEST(OverloadedPlanner, KeepsItsLeasesInABurstOfJobsThatNeedAdvice) {
+  constexpr int kRunningJobs = 100;
+  constexpr int kJobsOfBurst = 3000;
+  fakes::PoolCell cell(1, 20);
+  cell.queues.queues[0].policy.advice = AdvicePolicy{
+      .call_duration = milliseconds(20), .ticket_lifetime = seconds(2)};
+  cell.KillPlanners(milliseconds(10));
+  cell.RunFor(seconds(1));
+  for (int i = 0; i < kRunningJobs; ++i) {
+    cell.Submit(fakes::MakePoolJob("running" + std::to_string(i), 1, 1000,
+                                   seconds(20)));
+  }
+  cell.RunFor(seconds(3));
+  cell.faults.answer_handling_time = milliseconds(4);
+  for (int i = 0; i < kJobsOfBurst; ++i) {
+    cell.Submit(
+        fakes::MakePoolJob("burst" + std::to_string(i), 1, 1000, seconds(1)));
+  }
+  cell.RunFor(seconds(20));
+  ASSERT_NE(cell.planner(), nullptr);
+  EXPECT_EQ(cell.planner()->counts().workers_lost, 0U);
+  cell.RunFor(seconds(60));
+  EXPECT_EQ(cell.UnfinishedJobs().size(), 0U);
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace agatepass::pool
