Take no run for stalled whose report waited unread

A planner whose lag grew by a second saw a run that made no progress for that second, stopped it and kept its worker from new work for 2.5 s. The lag of the inputs is left out of the time judged now. The new test (same progress in two reports, the second 1.9 s late) fails before: the run is stopped.

--- a/src/agatepass/pool/planner_progress.cpp
+++ b/src/agatepass/pool/planner_progress.cpp
@@ -1,5 +1,7 @@
 // Progress of runs: stalled runs are stopped, so that their tasks run on
 // another worker.
+#include <algorithm>
+
 #include "agatepass/pool/pool_planner.h"
 #include "agatepass/pool/stall_detection.h"
 
@@ -10,9 +12,12 @@
   if (run.step == nullptr || run.phase != RunPhase::kRunning) return;
   const Step& step = *run.step->definition;
   if (step.long_running) return;
+  // The report may have waited here, unread.
+  const base::Duration elapsed =
+      time.now - run.last_progress.at - this->input_lag;
   const ProgressSample sample{.percent_before = run.last_progress.percent,
                               .percent = percent,
-                              .elapsed = time.now - run.last_progress.at,
+                              .elapsed = std::max(base::Duration(0), elapsed),
                               .estimate = step.estimate};
   const ProgressVerdict verdict = JudgeProgressSample(sample);
   if (verdict == ProgressVerdict::kTooEarly) return;
--- a/src/agatepass/pool/tests/late_planner_test.cpp
+++ b/src/agatepass/pool/tests/late_planner_test.cpp
@@ -32,6 +32,18 @@
   EXPECT_EQ(this->planner.open_jobs(), 1U);
 }
 
+TEST_F(LatePlanner, TakesNoRunForStalledWhoseReportWaitedUnread) {
+  constexpr int64_t kStartedAtMs = 5'000;
+  this->Load();
+  this->StartOnW0(kStartedAtMs);
+  const ReportedRun report{.task = this->task, .run = 1, .percent = 10};
+  this->AnswerSync(this->TakeSync("w0"), kStartedAtMs, {report});
+  this->RunFor(seconds(2));
+  this->planner.SetInputLag(milliseconds(1900));
+  this->AnswerSync(this->TakeSync("w0"), kStartedAtMs, {report});
+  EXPECT_EQ(this->planner.counts().stalled_runs_stopped, 0U);
+}
+
 // A burst took a planner that is short of processor time so far behind that the
 // leases of healthy workers ran out.
 TEST(OverloadedPlanner, KeepsItsLeasesInABurstOfJobsThatNeedAdvice) {
