--- a/src/agatepass/base/event_loop.cpp
+++ b/src/agatepass/base/event_loop.cpp
@@ -17,6 +17,9 @@
 constexpr int kMaxBulkHandlers = 32;
 constexpr Duration kMaxBulkTime = std::chrono::milliseconds(5);
 
+/** Messages that run in one turn. */
+constexpr size_t kMaxMessagesAtOnce = 8;
+
 /** Number of values of EventPriority; events without one get the middle. */
 constexpr int kPriorities = 3;
 
@@ -135,7 +138,12 @@
   std::vector<std::function<void()>> due;
   {
     const std::lock_guard lock(this->mutex);
-    due.swap(this->messages);
+    while (!this->messages.empty() && due.size() < kMaxMessagesAtOnce) {
+      due.push_back(std::move(this->messages.front()));
+      this->messages.pop_front();
+    }
+    // The others wait for their next turn, behind what is due by now.
+    if (!this->messages.empty()) event_active(this->wake, EV_READ, 0);
   }
   for (const std::function<void()>& message : due) message();
 }
--- a/src/agatepass/base/event_loop.h
+++ b/src/agatepass/base/event_loop.h
@@ -5,6 +5,7 @@
 #define AGATEPASS_BASE_EVENT_LOOP_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -109,7 +110,7 @@
   event_base* base = nullptr;
   event* wake = nullptr;
   std::mutex mutex;
-  std::vector<std::function<void()>> messages;
+  std::deque<std::function<void()>> messages;
 };
 
 }  // namespace agatepass::base
--- a/src/agatepass/base/http_client.h
+++ b/src/agatepass/base/http_client.h
@@ -67,7 +67,7 @@
 
   /** Time that a whole answer may take, in timeouts, with TimeLimit::kSilence.
    */
-  static constexpr int kMaxSilences = 10;
+  static constexpr int kMaxSilences = 25;
 
   /** Requests without an outcome so far. */
   size_t in_flight() const { return this->active.size(); }
--- a/src/agatepass/pool/concurrency_limit.h
+++ b/src/agatepass/pool/concurrency_limit.h
@@ -18,7 +18,7 @@
 /** Bounds of one limit. */
 struct ConcurrencyBounds {
   double min = 8;
-  double initial = 64;
+  double initial = 16;
   double max = 2048;
   /** Delay from which an answer counts as late. */
   base::Duration max_delay = std::chrono::milliseconds(100);
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -28,13 +28,12 @@
   const std::vector<StepState*> ready = this->CollectReadySteps(time);
   this->ready_steps = ready.size();
   for (StepState* step : ready) {
-    // What is sent in vain would delay the ends that make room.
-    if (!this->start_limit.HasRoom()) break;
     if (!step->ticket_reservations.empty() &&
         time.now >= step->ticket_reservations_until) {
       this->ReleaseTicketReservations(*step);
     }
-    this->PlaceStep(*step, time);
+    // What is sent in vain would delay the ends that make room.
+    if (this->start_limit.HasRoom()) this->PlaceStep(*step, time);
   }
   const uint64_t examined = this->totals.workers_examined - examined_before;
   this->earliest_scheduling_at =
