Start the oldest work now and then while urgent work uses up the limit of starts

After eight passes that used up the limit, one goes through the ready steps by age. The new test (one old job behind 40 urgent ones each 0.3 s, answers late, so that eight starts are in flight) fails before: the old job never starts.

--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/** After this many passes that used up the limit of starts, one goes through
+ * the ready steps by age instead of urgency. */
+constexpr uint32_t kPassesPerOldestFirst = 8;
+
 uint32_t CountRunsOnWorker(const StepState& step, const WorkerState& worker) {
   uint32_t count = 0;
   for (const RunState* run : worker.runs) {
@@ -25,8 +29,17 @@
 void PoolPlanner::ScheduleReadySteps(const PlannerTime& time) {
   this->DropExpiredGangReservations(time.now);
   const uint64_t examined_before = this->totals.workers_examined;
-  const std::vector<StepState*> ready = this->CollectReadySteps(time);
+  std::vector<StepState*> ready = this->CollectReadySteps(time);
   this->ready_steps = ready.size();
+  // More urgent work may use up the limit of starts for as long as it comes.
+  if (this->passes_without_room >= kPassesPerOldestFirst &&
+      this->start_limit.HasRoom()) {
+    this->passes_without_room = 0;
+    std::stable_sort(ready.begin(), ready.end(),
+                     [](const StepState* left, const StepState* right) {
+                       return left->job->accepted_at < right->job->accepted_at;
+                     });
+  }
   for (StepState* step : ready) {
     if (!step->ticket_reservations.empty() &&
         time.now >= step->ticket_reservations_until) {
@@ -35,6 +48,7 @@
     // What is sent in vain would delay the ends that make room.
     if (this->start_limit.HasRoom()) this->PlaceStep(*step, time);
   }
+  if (!this->start_limit.HasRoom()) ++this->passes_without_room;
   const uint64_t examined = this->totals.workers_examined - examined_before;
   this->earliest_scheduling_at =
       time.now +
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -578,6 +578,8 @@
   base::Instant earliest_scheduling_at;
   /** Number of ready steps in the last scheduling pass. */
   size_t ready_steps = 0;
+  /** Passes that used up the limit of starts since the last one by age. */
+  uint32_t passes_without_room = 0;
   base::Instant term_started_at;
   /** Latest time by which no other planner had begun its term. */
   std::optional<base::Instant> leadership_confirmed_at;
--- a/src/agatepass/pool/tests/late_planner_test.cpp
+++ b/src/agatepass/pool/tests/late_planner_test.cpp
@@ -44,6 +44,40 @@
   EXPECT_EQ(this->planner.counts().stalled_runs_stopped, 0U);
 }
 
+// A job that nothing hindered but the limit of starts waited to the end.
+TEST_F(LatePlanner, StartsOldWorkThoughUrgentWorkUsesUpTheLimitOfStarts) {
+  constexpr int kWorkers = 50;
+  constexpr int kFirstRounds = 5;
+  constexpr int kRounds = 60;
+  constexpr int kUrgentJobsPerRound = 40;
+  this->Load();
+  for (int i = 0; i < kWorkers; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    this->ListWorker(worker, 5'000);
+    this->RunFor(kStep);
+    this->AnswerSync(this->TakeSync(worker), 5'000);
+  }
+  bool old_started = false;
+  for (int round = 0; round < kRounds && !old_started; ++round) {
+    if (round == kFirstRounds)
+      this->Submit(fakes::MakePoolJob("old", 1, 100, seconds(60)));
+    for (int i = 0; i < kUrgentJobsPerRound; ++i) {
+      const std::string id =
+          "u" + std::to_string(round) + "-" + std::to_string(i);
+      this->Submit(fakes::MakePoolJob(id, 1, 100, seconds(1)));
+    }
+    this->RunFor(milliseconds(300));
+    for (const StartRequest& start : std::exchange(this->starts, {})) {
+      old_started = old_started || start.task.job == base::JobId("old");
+      this->planner.OnStart(
+          start.task, start.run,
+          {.result = WorkerCallResult::kDone, .worker_clock_ms = 1200},
+          this->time);
+    }
+  }
+  EXPECT_TRUE(old_started);
+}
+
 // A burst took a planner that is short of processor time so far behind that the
 // leases of healthy workers ran out.
 TEST(OverloadedPlanner, KeepsItsLeasesInABurstOfJobsThatNeedAdvice) {
