--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -216,6 +216,7 @@
     if (!this->callback) return;
     if (outcome.delivery != Delivery::kAnswered) {
       this->broken = true;
+      outcome.bytes_of_answer = this->bytes_read;
       if (this->bytes_read > 0) {
         outcome.fault +=
             fmt::format(" after {} bytes of the answer", this->bytes_read);
--- a/src/agatepass/base/http_message.h
+++ b/src/agatepass/base/http_message.h
@@ -4,6 +4,7 @@
 #ifndef AGATEPASS_BASE_HTTP_MESSAGE_H_
 #define AGATEPASS_BASE_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -86,6 +87,8 @@
   bool refused = false;
   /** Why there is no answer, for logs. */
   std::string fault;
+  /** Without an answer: bytes of it that had arrived. */
+  size_t bytes_of_answer = 0;
 };
 
 }  // namespace agatepass::base
