Have the planner decide by its configuration for hosts that are behind

Cause: each host read the whole configuration from the store at the same moment (1.6 MB of base64 for 5,600 routes, 15 hosts over one link between the regions), each newer version that a peer reported restarted the read, and what it had ignored still filled the link. Until the end a host went on by the old one.

Change: only the planner and its three standbys watch the configuration in the store. A call carries its host and path, the version by which the host routed it and the newest version that the host knows of; the planner routes it again if it has another version, and serves nobody who knows of a newer one than its own, so no host goes back over a takeover. A host answers 404 alone only while the planner has confirmed its version within 1.5 s. A new planner serves once it has caught up with the store. The other hosts ask the planner for what has changed (ConfigurationUpdate: with a checksum, 40 bytes a route instead of 280, one at a time, never given up for a newer version, paced to an eighth of the sender's link). Queues are found by an index, not by looking at all.

--- /dev/null
+++ b/src/agatepass/pool/call_routing.cpp
@@ -0,0 +1,63 @@
+#include "agatepass/pool/call_routing.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace agatepass::pool {
+
+namespace {
+
+/** Delay after which a call may be repeated that the planner's configuration is
+ * too old for; the planner asks for the newer one meanwhile. */
+constexpr base::Duration kOlderRetryDelay = std::chrono::seconds(1);
+
+PeerVerb ResolveVerb(PeerVerb verb, bool has_job) {
+  if (verb != PeerVerb::kDescribe && verb != PeerVerb::kCountPending) {
+    return verb;
+  }
+  return has_job ? PeerVerb::kDescribe : PeerVerb::kCountPending;
+}
+
+}  // namespace
+
+Routing RouteCall(const QueueIndex& index, PeerCall& call) {
+  const Queue* queue = index.Route(call.target.host, call.target.path);
+  if (queue == nullptr) return Routing::kNoQueue;
+  const std::string_view id =
+      std::string_view(call.target.path).substr(queue->prefix.size());
+  const PeerVerb verb = ResolveVerb(call.verb, !id.empty());
+  if (id.empty() && verb != PeerVerb::kCountPending) return Routing::kNoJob;
+  call.verb = verb;
+  call.queue = queue->name;
+  call.job = base::JobId(id);
+  call.submission.id = call.job;
+  call.submission.queue = call.queue;
+  call.configuration_version = index.table().version;
+  return Routing::kRouted;
+}
+
+CallerAnswer MakeUnroutedAnswer(Routing routing) {
+  if (routing == Routing::kNoJob) {
+    return {.code = base::ResultCode::kInvalidRequest,
+            .detail = "the path names no job"};
+  }
+  return {.code = base::ResultCode::kNotFound,
+          .unknown_queue = true,
+          .detail = "no queue takes this host and path"};
+}
+
+std::optional<CallerAnswer> RouteOnPlanner(const ConfigurationReplica& replica,
+                                           PeerCall& call) {
+  if (std::max(call.newest_version, call.configuration_version) >
+      replica.version()) {
+    return CallerAnswer{.code = base::ResultCode::kPeerUnreachable,
+                        .retry_after = kOlderRetryDelay,
+                        .detail = "the planner's configuration is older"};
+  }
+  if (call.configuration_version == replica.version()) return std::nullopt;
+  const Routing routing = RouteCall(replica.queues(), call);
+  if (routing == Routing::kRouted) return std::nullopt;
+  return MakeUnroutedAnswer(routing);
+}
+
+}  // namespace agatepass::pool
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -271,6 +271,14 @@
   /** Whether the term ended before the planner could answer; the next planner
    * may be asked. */
   bool term_ended = false;
+  /** With kNotFound: whether it is the queue that does not exist, not the job.
+   */
+  bool unknown_queue = false;
+  /** Whether the call was routed as a question about a queue. */
+  bool counts_pending = false;
+  /** Version of the configuration by which the planner answered; 0 if it does
+   * not say. */
+  uint64_t configuration_version = 0;
   /** For a rejection: time after which a retry may succeed. */
   base::Duration retry_after{0};
   std::string detail;
--- a/src/agatepass/pool/peer_call.cpp
+++ b/src/agatepass/pool/peer_call.cpp
@@ -17,15 +17,19 @@
 constexpr int kHttpOk = 200;
 
 // Indexed by PeerVerb.
-constexpr std::array<std::string_view, 6> kPaths = {
-    "/pool/submit",  "/pool/describe", "/pool/cancel",
-    "/pool/pending", "/pool/advise",   "/pool/hello"};
+constexpr std::array<std::string_view, 7> kPaths = {
+    "/pool/submit", "/pool/describe", "/pool/cancel",       "/pool/pending",
+    "/pool/advise", "/pool/hello",    "/pool/configuration"};
 
 std::string_view FindParameter(const base::HttpRequest& request,
                                std::string_view name) {
   return base::FindHeader(request.query, name);
 }
 
+uint64_t FindVersion(const base::HttpRequest& request, std::string_view name) {
+  return base::ParseNumber<uint64_t>(FindParameter(request, name)).value_or(0);
+}
+
 Json EncodeQuery(const AdviceQuery& query) {
   Json workers = Json::array();
   for (const base::WorkerId& worker : query.workers) {
@@ -56,10 +60,17 @@
   base::HttpRequest request{
       .method = base::HttpMethod::kPost,
       .path = std::string(kPaths[static_cast<size_t>(call.verb)])};
+  if (call.configuration_version != 0) {
+    request.query.push_back(
+        {"version", fmt::format("{}", call.configuration_version)});
+  }
+  if (!call.target.path.empty()) {
+    request.query.push_back({"newest", fmt::format("{}", call.newest_version)});
+    request.query.push_back({"to", call.target.host});
+    request.query.push_back({"path", call.target.path});
+  }
   switch (call.verb) {
     case PeerVerb::kSubmit:
-      request.query.push_back(
-          {"version", fmt::format("{}", call.configuration_version)});
       request.body = EncodeJob(call.submission);
       break;
     case PeerVerb::kDescribe:
@@ -79,6 +90,8 @@
       request.query.push_back(
           {"share", fmt::format("{}", call.processor_share)});
       break;
+    case PeerVerb::kConfiguration:
+      break;
   }
   return request;
 }
@@ -95,14 +108,15 @@
   call.job = base::JobId(FindParameter(request, "job"));
   call.queue = FindParameter(request, "queue");
   call.host = base::HostId(FindParameter(request, "host"));
+  call.target = {.host = std::string(FindParameter(request, "to")),
+                 .path = std::string(FindParameter(request, "path"))};
+  call.configuration_version = FindVersion(request, "version");
+  call.newest_version = FindVersion(request, "newest");
   switch (call.verb) {
     case PeerVerb::kSubmit: {
       absl::StatusOr<Job> job = DecodeJob(request.body);
       if (!job.ok()) return std::nullopt;
       call.submission = *std::move(job);
-      call.configuration_version =
-          base::ParseNumber<uint64_t>(FindParameter(request, "version"))
-              .value_or(0);
       break;
     }
     case PeerVerb::kAdvise: {
@@ -137,6 +151,11 @@
                {"retry_us", answer.retry_after.count()},
                {"detail", answer.detail}};
   if (answer.term_ended) body["term_ended"] = true;
+  if (answer.unknown_queue) body["unknown_queue"] = true;
+  if (answer.counts_pending) body["counts_pending"] = true;
+  if (answer.configuration_version != 0) {
+    body["configuration"] = answer.configuration_version;
+  }
   return {.status = kHttpOk,
           .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)};
 }
@@ -154,6 +173,9 @@
     result.phase = static_cast<JobPhase>(phase);
     result.pending = in.at("pending").get<uint64_t>();
     result.term_ended = in.value("term_ended", false);
+    result.unknown_queue = in.value("unknown_queue", false);
+    result.counts_pending = in.value("counts_pending", false);
+    result.configuration_version = in.value("configuration", uint64_t{0});
     result.retry_after = base::Duration(in.at("retry_us").get<int64_t>());
     result.detail = in.at("detail").get<std::string>();
     return result;
--- a/src/agatepass/pool/peer_call.h
+++ b/src/agatepass/pool/peer_call.h
@@ -29,6 +29,15 @@
   kAdvise,
   /** Announce this host and learn which host is planner. */
   kHello,
+  /** Ask for the update to a newer version of the configuration. */
+  kConfiguration,
+};
+
+/** What a caller's request is addressed to. */
+struct CallTarget {
+  /** Host name, as the caller wrote it. */
+  std::string host;
+  std::string path;
 };
 
 /** A host's answer to kHello: the planner and the other hosts, as far as it
@@ -48,17 +57,25 @@
   std::vector<base::Endpoint> hosts;
 };
 
-/** One call; each field is used by the verbs named there. */
+/** One call; each field is used by the verbs named there. Calls of callers are
+ * kSubmit, kDescribe, kCancel and kCountPending. */
 struct PeerCall {
   PeerVerb verb = PeerVerb::kDescribe;
+  /** Calls of callers: what the caller asked for, by which the planner routes
+   * the call again if it has another configuration than the host. */
+  CallTarget target;
   /** kDescribe, kCancel. */
   base::JobId job;
   /** kCountPending. */
   std::string queue;
   /** kSubmit. */
   Job submission;
-  /** kSubmit: version of the configuration in use on the host. */
+  /** Calls of callers: version of the configuration by which the host has
+   * routed the call; 0 if it has not. kHello: version in use on the host.
+   * kConfiguration: version that the update shall apply to; 0 for none. */
   uint64_t configuration_version = 0;
+  /** Calls of callers: newest version that the host knows to exist. */
+  uint64_t newest_version = 0;
   /** kAdvise. */
   AdviceQuery query;
   /** kHello: the calling host and its address. */
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -191,8 +191,10 @@
       ++pending;
     }
   }
-  this->effects.push_back(CallerAnswer{
-      .call = call, .code = base::ResultCode::kOk, .pending = pending});
+  this->effects.push_back(CallerAnswer{.call = call,
+                                       .code = base::ResultCode::kOk,
+                                       .pending = pending,
+                                       .counts_pending = true});
 }
 
 void PoolPlanner::OnStoreCheck(CallId call, std::optional<bool> exists) {
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -117,8 +117,8 @@
 }
 
 void PoolPlanner::SetQueues(const QueueTable& table, const PlannerTime& time) {
-  if (table.version < this->queues.version) return;
-  this->queues = table;
+  if (table.version < this->queues.table().version) return;
+  this->queues = QueueIndex(table);
   for (auto& [id, job] : this->open) this->ApplyQueuePolicy(*job);
   this->scheduling_needed = true;
   this->log.Add(time.now, "planner configured", "version={} queues={}",
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -29,7 +29,7 @@
 #include "agatepass/pool/planner_counts.h"
 #include "agatepass/pool/planner_options.h"
 #include "agatepass/pool/pool_state.h"
-#include "agatepass/pool/queue_table.h"
+#include "agatepass/pool/queue_index.h"
 #include "agatepass/pool/record_codec.h"
 #include "agatepass/pool/store_health.h"
 #include "agatepass/pool/write_backlog.h"
@@ -561,7 +561,7 @@
 
   PlannerOptions options;
   timeline::DecisionLog& log;
-  QueueTable queues;
+  QueueIndex queues;
   AllowedShareEstimator allowed_shares;
   /** Starts without an answer, and queries for advice. */
   ConcurrencyLimit start_limit;
--- a/src/agatepass/pool/queue_table.h
+++ b/src/agatepass/pool/queue_table.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "agatepass/base/identifier.h"
@@ -64,14 +63,7 @@
   uint64_t version = 0;
   std::vector<Queue> queues;
 
-  /** Returns the queue for a request, or null if no queue matches. Of several
-   * matching queues the one with the longest prefix is returned.
-   * \param host host name of the request; a port and letter case are ignored.
-   * \param path path of the request. */
-  const Queue* Route(std::string_view host, std::string_view path) const;
-
-  /** Returns the queue called `name`, or null. */
-  const Queue* Find(std::string_view name) const;
+  bool operator==(const QueueTable&) const = default;
 };
 
 }  // namespace agatepass::pool
--- /dev/null
+++ b/src/agatepass/pool/tests/configuration_replica_test.cpp
@@ -0,0 +1,141 @@
+// A host's copy of the configuration, and what hosts send each other of it.
+#include "agatepass/pool/configuration_replica.h"
+
+#include <string>
+
+#include "agatepass/pool/configuration_fetch.h"
+#include "fmt/format.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Returns a version with this many queues, "q-0" being changed by each. */
+QueueTable MakeTable(uint64_t version, int queue_count) {
+  QueueTable table{.version = version};
+  for (int i = 0; i < queue_count; ++i) {
+    table.queues.push_back(
+        {.name = fmt::format("q-{}", i),
+         .host = "a.example",
+         .prefix = fmt::format("/p{}/", i),
+         .policy = {.service = base::ServiceId("s"),
+                    .priority = 2,
+                    .attempts = 3,
+                    .stretch = 2.2,
+                    .slack = milliseconds(1200),
+                    .advice = AdvicePolicy{milliseconds(5), milliseconds(1),
+                                           seconds(2)}}});
+  }
+  table.queues[0].policy.slack = milliseconds(version);
+  return table;
+}
+
+TEST(ConfigurationReplica, NeverGoesBackToAnOlderVersion) {
+  ConfigurationReplica replica;
+  EXPECT_TRUE(replica.Apply(MakeTable(12, 3), 112));
+  EXPECT_FALSE(replica.Apply(MakeTable(9, 3), 109));
+  EXPECT_FALSE(replica.Apply(MakeTable(12, 4), 113));
+  EXPECT_EQ(replica.version(), 12U);
+  EXPECT_EQ(replica.revision(), 112);
+}
+
+TEST(ConfigurationReplica, DecidesAloneOnlyWhileConfirmedAsTheNewest) {
+  const base::Instant now{seconds(10)};
+  ConfigurationReplica replica;
+  replica.OnConfirmed(now);
+  EXPECT_FALSE(replica.IsCurrent(now)) << "there is no version yet";
+  replica.Apply(MakeTable(9, 3), 109);
+  EXPECT_TRUE(replica.IsCurrent(now));
+  EXPECT_FALSE(replica.IsCurrent(
+      now + ConfigurationReplica::kMaxConfirmationAge + milliseconds(1)));
+  replica.OnVersionSeen(12);
+  EXPECT_FALSE(replica.IsCurrent(now)) << "a newer version is known";
+  replica.Apply(MakeTable(12, 3), 112);
+  EXPECT_TRUE(replica.IsCurrent(now));
+}
+
+TEST(ConfigurationUpdate, TurnsOneVersionIntoTheNext) {
+  ConfigurationReplica sender;
+  sender.Apply(MakeTable(7, 30), 107);
+  sender.Apply(MakeTable(9, 20), 109);
+  sender.Apply(MakeTable(12, 40), 112);
+  for (const uint64_t base : {0, 7, 9}) {
+    ConfigurationReplica receiver;
+    if (base != 0) receiver.Apply(MakeTable(base, base == 7 ? 30 : 20), base);
+    const auto update = DecodeUpdate(sender.EncodeUpdateFrom(base));
+    ASSERT_TRUE(update) << base;
+    EXPECT_EQ(update->base_version, base);
+    EXPECT_EQ(update->revision, 112);
+    auto table = ApplyUpdate(receiver.queues().table(), *update);
+    ASSERT_TRUE(table) << base;
+    ASSERT_TRUE(receiver.Apply(*std::move(table), update->revision));
+    EXPECT_EQ(ComputeChecksum(receiver.queues().table()),
+              ComputeChecksum(sender.queues().table()));
+    for (const Queue& queue : sender.queues().table().queues) {
+      const Queue* found = receiver.queues().Find(queue.name);
+      ASSERT_NE(found, nullptr) << queue.name;
+      EXPECT_EQ(*found, queue);
+    }
+  }
+}
+
+// Each host read the whole record again for each change of some routes.
+TEST(ConfigurationUpdate, GrowsWithWhatHasChangedAndNotWithAllQueues) {
+  ConfigurationReplica sender;
+  sender.Apply(MakeTable(7, 4000), 107);
+  sender.Apply(MakeTable(9, 4001), 109);
+  EXPECT_LT(sender.EncodeUpdateFrom(7).size(), 600U);
+  EXPECT_LT(sender.EncodeUpdateFrom(0).size(), 4001U * 40U);
+}
+
+TEST(ConfigurationUpdate, IsNotAppliedToAnotherVersionOrWithAWrongChecksum) {
+  const QueueTable base = MakeTable(7, 3);
+  ConfigurationUpdate update = MakeUpdate(base, MakeTable(9, 3), 109);
+  EXPECT_TRUE(ApplyUpdate(base, update));
+  EXPECT_FALSE(ApplyUpdate(MakeTable(8, 3), update));
+  EXPECT_FALSE(ApplyUpdate(MakeTable(7, 4), update));
+  ++update.checksum;
+  EXPECT_FALSE(ApplyUpdate(base, update));
+}
+
+TEST(ConfigurationUpdate, AMalformedOneIsRejected) {
+  ConfigurationReplica sender;
+  sender.Apply(MakeTable(7, 2), 107);
+  const std::string good = sender.EncodeUpdateFrom(0);
+  ASSERT_TRUE(DecodeUpdate(good));
+  for (const std::string& bad :
+       {std::string(), std::string("{}"), std::string("[1]"),
+        good.substr(0, good.size() / 2)}) {
+    EXPECT_FALSE(DecodeUpdate(bad)) << bad;
+  }
+  std::string text = good;
+  text.replace(text.find("/p1/\",0,"), 8, "/p1/\",7,");
+  EXPECT_FALSE(DecodeUpdate(text)) << "a queue names a host that is not listed";
+}
+
+// Each newer version ignored the transfer under way and began it again, so that
+// none ended while changes came.
+TEST(ConfigurationFetch, ATransferIsNotGivenUpForAVersionThatIsNewerStill) {
+  const base::Endpoint planner{"10.0.0.1", 7000};
+  base::Instant now{seconds(10)};
+  ConfigurationFetch fetch;
+  EXPECT_FALSE(fetch.Begin(9, now));
+  fetch.OnReported(12, planner);
+  EXPECT_EQ(fetch.Begin(9, now), planner);
+  fetch.OnReported(14, planner);
+  EXPECT_FALSE(fetch.Begin(9, now)) << "one is under way";
+  fetch.End(true, now);
+  EXPECT_EQ(fetch.Begin(12, now), planner);
+  fetch.End(false, now);
+  EXPECT_FALSE(fetch.Begin(12, now)) << "it has failed just now";
+  now += ConfigurationFetch::kRetryDelay;
+  EXPECT_EQ(fetch.Begin(12, now), planner);
+  fetch.End(true, now);
+  EXPECT_FALSE(fetch.Begin(14, now));
+}
+
+}  // namespace
+}  // namespace agatepass::pool
