Log what calls wait for the planner, and how many connections are open

The lag in 'planner load' is that of other events: calls of peers are posted behind what workers said, and nothing told how long they wait. The order and the share of the loop that they get are unchanged here.

--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -293,6 +293,7 @@
   while (!entry->second.empty()) {
     std::unique_ptr<Connection> connection = std::move(entry->second.back());
     entry->second.pop_back();
+    --this->idle_count;
     if (connection->reusable() && connection->idle_since >= oldest)
       return connection;
     this->Retire(std::move(connection));
@@ -310,11 +311,13 @@
   if (outcome.delivery != Delivery::kAnswered) {
     for (std::unique_ptr<Connection>& suspect : pool)
       this->Retire(std::move(suspect));
+    this->idle_count -= pool.size();
     pool.clear();
   }
   if (owned->reusable() && pool.size() < this->limits.idle_connections) {
     owned->idle_since = this->loop.Now();
     pool.push_back(std::move(owned));
+    ++this->idle_count;
   } else {
     this->Retire(std::move(owned));
   }
--- a/src/agatepass/base/http_client.h
+++ b/src/agatepass/base/http_client.h
@@ -72,6 +72,11 @@
   /** Requests without an outcome so far. */
   size_t in_flight() const { return this->active.size(); }
 
+  /** Connections that are in use, idle or about to be closed. */
+  size_t connections() const {
+    return this->active.size() + this->idle_count + this->retired.size();
+  }
+
   /** Bytes handed to the network so far, heads and bodies, for the accounts of
    * control traffic. */
   uint64_t bytes_sent() const { return this->sent; }
@@ -89,6 +94,7 @@
   EventLoop& loop;
   HttpClientLimits limits;
   absl::flat_hash_map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle;
+  size_t idle_count = 0;
   absl::flat_hash_map<Connection*, std::unique_ptr<Connection>> active;
   // Connections whose callback is still on the stack; freed from the loop.
   std::vector<std::unique_ptr<Connection>> retired;
--- a/src/agatepass/base/http_server.cpp
+++ b/src/agatepass/base/http_server.cpp
@@ -71,20 +71,11 @@
   return Endpoint{text.data(), ntohs(address.sin_port)};
 }
 
-void OnConnectionClosed(evhttp_connection* /*connection*/, void* argument) {
-  auto* state = static_cast<HttpResponder::State*>(argument);
-  state->request = nullptr;
-  const std::function<void()> on_done = std::move(state->on_done);
-  if (on_done) on_done();
-}
-
 }  // namespace
 
 void HttpResponder::Respond(const HttpAnswer& answer) const {
   if (!this->open()) return;
   evhttp_request* request = std::exchange(this->state->request, nullptr);
-  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr,
-                                nullptr);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   for (const HttpHeader& header : answer.headers) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -99,7 +90,8 @@
 
 HttpServer::HttpServer(EventLoop& loop, const HttpServerLimits& limits,
                        Handler handler)
-    : handler(std::move(handler)),
+    : loop(loop),
+      handler(std::move(handler)),
       priority(limits.priority),
       responders(std::make_shared<
                  std::vector<std::shared_ptr<HttpResponder::State>>>()) {
@@ -114,11 +106,11 @@
 }
 
 HttpServer::~HttpServer() {
+  for (const auto& [handle, connection] : this->open_connections) {
+    evhttp_connection_set_closecb(handle, nullptr, nullptr);
+  }
   for (const auto& state : *this->responders) {
     state->on_done = nullptr;
-    if (state->request == nullptr) continue;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(state->request),
-                                  nullptr, nullptr);
     state->request = nullptr;
   }
   evhttp_free(this->server);
@@ -145,16 +137,46 @@
   static_cast<HttpServer*>(self)->Receive(request);
 }
 
+HttpServer::Connection& HttpServer::FindConnection(evhttp_request* request) {
+  evhttp_connection* handle = evhttp_request_get_connection(request);
+  std::unique_ptr<Connection>& connection = this->open_connections[handle];
+  if (!connection) {
+    connection = std::make_unique<Connection>();
+    connection->server = this;
+    connection->handle = handle;
+    evhttp_connection_set_closecb(handle, &HttpServer::OnConnectionClosed,
+                                  connection.get());
+  }
+  return *connection;
+}
+
+void HttpServer::OnConnectionClosed(evhttp_connection* handle,
+                                    void* connection) {
+  auto* closed = static_cast<Connection*>(connection);
+  HttpServer* server = closed->server;
+  const std::shared_ptr<HttpResponder::State> state = closed->request;
+  server->open_connections.erase(handle);
+  if (!state) return;
+  state->request = nullptr;
+  if (const auto on_done = std::move(state->on_done)) on_done();
+}
+
 void HttpServer::Receive(evhttp_request* request) {
   auto state = std::make_shared<HttpResponder::State>();
   state->request = request;
   this->responders->push_back(state);
-  state->on_done = [responders = this->responders, raw = state.get()] {
+  Connection& connection = this->FindConnection(request);
+  connection.request = state;
+  connection.last_used = this->loop.Now();
+  state->on_done = [this, responders = this->responders, raw = state.get(),
+                    handle = connection.handle] {
     std::erase_if(*responders,
                   [raw](const auto& entry) { return entry.get() == raw; });
+    const auto found = this->open_connections.find(handle);
+    if (found == this->open_connections.end()) return;
+    found->second->request = nullptr;
+    found->second->last_used = this->loop.Now();
   };
-  evhttp_connection_set_closecb(evhttp_request_get_connection(request),
-                                &OnConnectionClosed, state.get());
   HttpRequest received;
   received.method = ToMethod(evhttp_request_get_command(request));
   received.headers = CopyHeaders(evhttp_request_get_input_headers(request));
--- a/src/agatepass/base/http_server.h
+++ b/src/agatepass/base/http_server.h
@@ -11,12 +11,14 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "agatepass/base/event_loop.h"
 #include "agatepass/base/http_message.h"
 
 struct evhttp;
 struct evhttp_bound_socket;
+struct evhttp_connection;
 struct evhttp_request;
 
 namespace agatepass::base {
@@ -83,6 +85,9 @@
    */
   absl::Status Listen(const Endpoint& endpoint);
 
+  /** Open connections on which a request has arrived. */
+  size_t connections() const { return this->open_connections.size(); }
+
   /** Closes the listening socket; open connections go on. */
   void StopListening();
 
@@ -93,14 +98,28 @@
   size_t in_flight() const { return this->responders->size(); }
 
  private:
+  /** A connection on which a request has arrived. */
+  struct Connection {
+    HttpServer* server = nullptr;
+    evhttp_connection* handle = nullptr;
+    /** The request in progress, if there is one. */
+    std::shared_ptr<HttpResponder::State> request;
+    Instant last_used;
+  };
+
   static void OnRequest(evhttp_request* request, void* self);
+  static void OnConnectionClosed(evhttp_connection* handle, void* connection);
   void Receive(evhttp_request* request);
+  Connection& FindConnection(evhttp_request* request);
 
+  EventLoop& loop;
   Handler handler;
   EventPriority (*priority)(const HttpRequest&) = nullptr;
   evhttp* server = nullptr;
   evhttp_bound_socket* socket = nullptr;
   Endpoint bound;
+  absl::flat_hash_map<evhttp_connection*, std::unique_ptr<Connection>>
+      open_connections;
   // Shared with the responders, which may outlive the server.
   std::shared_ptr<std::vector<std::shared_ptr<HttpResponder::State>>>
       responders;
--- a/src/agatepass/pool/peer_call.cpp
+++ b/src/agatepass/pool/peer_call.cpp
@@ -16,6 +16,10 @@
 
 constexpr int kHttpOk = 200;
 
+/** Time that a host waits for the answer to a call of a caller if it does not
+ * say. */
+constexpr base::Duration kDefaultPatience = std::chrono::seconds(3);
+
 // Indexed by PeerVerb.
 constexpr std::array<std::string_view, 7> kPaths = {
     "/pool/submit", "/pool/describe", "/pool/cancel",       "/pool/pending",
@@ -56,7 +60,8 @@
 
 }  // namespace
 
-base::HttpRequest EncodePeerCall(const PeerCall& call) {
+base::HttpRequest EncodePeerCall(const PeerCall& call,
+                                 base::Duration patience) {
   base::HttpRequest request{
       .method = base::HttpMethod::kPost,
       .path = std::string(kPaths[static_cast<size_t>(call.verb)])};
@@ -69,6 +74,10 @@
     request.query.push_back({"to", call.target.host});
     request.query.push_back({"path", call.target.path});
   }
+  if (patience.count() > 0) {
+    request.query.push_back(
+        {"patience_ms", fmt::format("{}", base::ToMilliseconds(patience))});
+  }
   switch (call.verb) {
     case PeerVerb::kSubmit:
       request.body = EncodeJob(call.submission);
@@ -96,6 +105,20 @@
   return request;
 }
 
+bool IsCallOfCaller(const base::HttpRequest& request) {
+  for (const PeerVerb verb : {PeerVerb::kSubmit, PeerVerb::kDescribe,
+                              PeerVerb::kCancel, PeerVerb::kCountPending}) {
+    if (request.path == kPaths[static_cast<size_t>(verb)]) return true;
+  }
+  return false;
+}
+
+base::Duration GetPatience(const base::HttpRequest& request) {
+  const auto given =
+      base::ParseNumber<int64_t>(FindParameter(request, "patience_ms"));
+  return given ? std::chrono::milliseconds(*given) : kDefaultPatience;
+}
+
 bool IsHello(const base::HttpRequest& request) {
   return request.path == kPaths[static_cast<size_t>(PeerVerb::kHello)];
 }
--- a/src/agatepass/pool/peer_call.h
+++ b/src/agatepass/pool/peer_call.h
@@ -87,8 +87,18 @@
   bool store_reachable = true;
 };
 
-/** Returns the HTTP request of a call. */
-base::HttpRequest EncodePeerCall(const PeerCall& call);
+/** Returns the HTTP request of a call.
+ * \param patience time for which this host waits for the answer to a call of a
+ *     caller. */
+base::HttpRequest EncodePeerCall(const PeerCall& call,
+                                 base::Duration patience = base::Duration(0));
+
+/** Whether the request is a call of a caller, which the planner answers. */
+bool IsCallOfCaller(const base::HttpRequest& request);
+
+/** Returns the time for which the host that sent a call of a caller waits for
+ * the answer; a long one if it does not say. */
+base::Duration GetPatience(const base::HttpRequest& request);
 
 /** Whether the request is a hello, which is to be answered before all else. */
 bool IsHello(const base::HttpRequest& request);
