Pause accepting when it fails, and share the descriptors out

Cause: accept() failed for want of descriptors (8,192), its socket stayed readable, and its event goes before what workers and peers say: the loop did nothing but accept in vain, 14,000 times a second, and so closed no connection. The library wrote each failure to standard error. A connection that this host could not make for want of descriptors was taken for one that was refused, so that a planner would have been replaced for it.

Change: after a failed accept() the 16 connections that were idle for longest are closed and accepting pauses for 20 ms. Only ECONNREFUSED's path counts as refused, own limits do not.

--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -7,6 +7,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <string>
 #include <utility>
 
@@ -49,6 +50,13 @@
   return "unknown fault";
 }
 
+/** Whether an error says that this process, not the server, can make no more
+ * connections. */
+bool IsOwnLimit(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+         error == ENOMEM || error == EADDRNOTAVAIL;
+}
+
 std::string BuildTarget(const HttpRequest& request) {
   std::string target = request.path;
   char separator = '?';
@@ -129,15 +137,23 @@
         evhttp_connection_get_bufferevent(this->connection),
         static_cast<int>(this->client.limits.priority));
     const std::string target = BuildTarget(request);
+    this->starting = true;
     const int status =
         evhttp_make_request(this->connection, this->message,
                             ToCommand(request.method), target.c_str());
+    this->starting = false;
     if (status != 0) {
       this->message = nullptr;
       this->EndLater("cannot open a connection");
     }
   }
 
+  /** Ends a request that is not sent at all. */
+  void Reject(Callback on_end, std::string_view reason) {
+    this->callback = std::move(on_end);
+    this->EndLater(reason);
+  }
+
   Callback TakeCallback() {
     ResetTimer();
     return std::exchange(this->callback, nullptr);
@@ -175,7 +191,12 @@
     auto* self = static_cast<Connection*>(argument);
     self->message = nullptr;
     if (message == nullptr || evhttp_request_get_response_code(message) == 0) {
-      self->EndWithFault();
+      self->connect_error = EVUTIL_SOCKET_ERROR();
+      if (self->starting) {
+        self->EndLater("");
+      } else {
+        self->EndWithFault();
+      }
       return;
     }
     // Bytes after the answer would be taken for the next request's answer.
@@ -206,10 +227,16 @@
     const Delivery delivery =
         this->bytes_written == 0 ? Delivery::kNotSent : Delivery::kUnknown;
     // evhttp names no fault of a connection that could not be made.
-    const bool refused = delivery == Delivery::kNotSent && this->fault.empty();
+    const bool failed_to_connect =
+        delivery == Delivery::kNotSent && this->fault.empty();
+    const bool at_own_limit = IsOwnLimit(this->connect_error);
+    if (failed_to_connect) {
+      this->fault = at_own_limit ? evutil_socket_error_to_string(connect_error)
+                                 : "cannot connect";
+    }
     this->End({.delivery = delivery,
-               .refused = refused,
-               .fault = refused ? "cannot connect" : this->fault});
+               .refused = failed_to_connect && !at_own_limit,
+               .fault = this->fault});
   }
 
   void End(HttpOutcome outcome) {
@@ -258,6 +285,11 @@
   std::unique_ptr<LoopEvent> timer;
   Callback callback;
   std::string fault;
+  /** Error of the system when the connection could not be made. */
+  int connect_error = 0;
+  /** Whether evhttp is being handed the request: what it reports meanwhile is
+   * passed on from the loop. */
+  bool starting = false;
   /** With TimeLimit::kSilence: the timeout, and when the answer must be whole;
    * otherwise the former is zero. */
   Duration longest_silence{0};
@@ -279,12 +311,37 @@
 void HttpClient::Send(const Endpoint& endpoint, const HttpRequest& request,
                       Duration timeout, Callback callback, TimeLimit limit) {
   std::unique_ptr<Connection> connection = this->TakeIdle(endpoint);
+  const bool has_room =
+      connection ||
+      this->active.size() + this->idle_count < this->limits.connections ||
+      this->CloseOldestIdle();
   if (!connection) connection = std::make_unique<Connection>(*this, endpoint);
   Connection* raw = connection.get();
   this->active.emplace(raw, std::move(connection));
+  if (!has_room) {
+    raw->Reject(std::move(callback), "too many connections are open");
+    return;
+  }
   raw->Start(request, timeout, std::move(callback), limit);
 }
 
+bool HttpClient::CloseOldestIdle() {
+  std::vector<std::unique_ptr<Connection>>* oldest = nullptr;
+  for (auto& [endpoint, pool] : this->idle) {
+    // The first of a pool was used least recently.
+    if (!pool.empty() &&
+        (oldest == nullptr ||
+         pool.front()->idle_since < oldest->front()->idle_since)) {
+      oldest = &pool;
+    }
+  }
+  if (oldest == nullptr) return false;
+  this->Retire(std::move(oldest->front()));
+  oldest->erase(oldest->begin());
+  --this->idle_count;
+  return true;
+}
+
 std::unique_ptr<HttpClient::Connection> HttpClient::TakeIdle(
     const Endpoint& endpoint) {
   const auto entry = this->idle.find(endpoint);
--- a/src/agatepass/base/http_client.h
+++ b/src/agatepass/base/http_client.h
@@ -20,6 +20,9 @@
 /** Limits of one client. */
 struct HttpClientLimits {
   size_t answer_bytes = 8 * 1024 * 1024;
+  /** Connections open at a time: beyond, the one that was idle for longest is
+   * closed, and while all are in use a request is not sent. */
+  size_t connections = 1'000'000;
   /** Idle connections kept open for each address. */
   size_t idle_connections = 4;
   /** Idle time after which a connection is closed rather than used again. */
@@ -88,6 +91,9 @@
   class Connection;
 
   std::unique_ptr<Connection> TakeIdle(const Endpoint& endpoint);
+  /** Closes the connection that was idle for longest.
+   * \return whether there was one. */
+  bool CloseOldestIdle();
   void Finish(Connection* connection, HttpOutcome outcome);
   void Retire(std::unique_ptr<Connection> connection);
 
--- a/src/agatepass/base/http_server.cpp
+++ b/src/agatepass/base/http_server.cpp
@@ -6,9 +6,12 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 
 #include <algorithm>
 #include <array>
+#include <mutex>
+#include <span>
 #include <utility>
 
 #include "agatepass/base/result_code.h"
@@ -71,6 +74,53 @@
   return Endpoint{text.data(), ntohs(address.sin_port)};
 }
 
+/** Time for which no connection is accepted after one could not be. */
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+
+/** Idle connections that are closed when the process has no descriptor left:
+ * some, as others of the process need descriptors too. */
+constexpr size_t kClosedForDescriptors = 16;
+
+/** Time since its last request or answer after which a connection counts as
+ * idle: an answer may still be under way before. */
+constexpr Duration kMinIdleTime = std::chrono::milliseconds(500);
+
+/** libevent passes an error of accept() on without the server that it concerns.
+ */
+class ListenerRegistry {
+ public:
+  void Add(evconnlistener* listener, std::function<void()> on_error) {
+    const std::lock_guard lock(this->mutex);
+    this->handlers[listener] = std::move(on_error);
+  }
+
+  void Remove(evconnlistener* listener) {
+    const std::lock_guard lock(this->mutex);
+    this->handlers.erase(listener);
+  }
+
+  void OnError(evconnlistener* listener) {
+    std::function<void()> handler;
+    {
+      const std::lock_guard lock(this->mutex);
+      if (const auto found = this->handlers.find(listener);
+          found != this->handlers.end()) {
+        handler = found->second;
+      }
+    }
+    if (handler) handler();
+  }
+
+ private:
+  std::mutex mutex;
+  absl::flat_hash_map<evconnlistener*, std::function<void()>> handlers;
+};
+
+ListenerRegistry& GetListenerRegistry() {
+  static ListenerRegistry registry;
+  return registry;
+}
+
 }  // namespace
 
 void HttpResponder::Respond(const HttpAnswer& answer) const {
@@ -93,6 +143,7 @@
     : loop(loop),
       handler(std::move(handler)),
       priority(limits.priority),
+      max_connections(limits.connections),
       responders(std::make_shared<
                  std::vector<std::shared_ptr<HttpResponder::State>>>()) {
   this->server = evhttp_new(loop.handle());
@@ -106,6 +157,7 @@
 }
 
 HttpServer::~HttpServer() {
+  this->StopListening();
   for (const auto& [handle, connection] : this->open_connections) {
     evhttp_connection_set_closecb(handle, nullptr, nullptr);
   }
@@ -124,15 +176,67 @@
         ResultCode::kInvalidRequest,
         fmt::format("cannot listen on address \"{}\"", endpoint.ToString()));
   }
+  evconnlistener* listener = evhttp_bound_socket_get_listener(this->socket);
+  GetListenerRegistry().Add(listener, [this] { this->OnAcceptFailed(); });
+  evconnlistener_set_error_cb(listener, [](evconnlistener* failed, void*) {
+    GetListenerRegistry().OnError(failed);
+  });
   this->bound = BoundEndpoint(this->socket);
   return absl::OkStatus();
 }
 
 void HttpServer::StopListening() {
   if (this->socket == nullptr) return;
+  this->resume_accepting.reset();
+  GetListenerRegistry().Remove(evhttp_bound_socket_get_listener(this->socket));
   evhttp_del_accept_socket(this->server, std::exchange(this->socket, nullptr));
 }
 
+void HttpServer::OnAcceptFailed() {
+  // The socket stays readable: without a pause its event would be due again at
+  // once, before all that closes connections.
+  this->CloseIdle(kClosedForDescriptors);
+  this->PauseAccepting();
+}
+
+void HttpServer::PauseAccepting() {
+  if (this->socket == nullptr || this->resume_accepting) return;
+  ++this->pause_count;
+  evconnlistener* listener = evhttp_bound_socket_get_listener(this->socket);
+  evconnlistener_disable(listener);
+  this->resume_accepting = this->loop.After(kAcceptPause, [this, listener] {
+    this->resume_accepting.reset();
+    evconnlistener_enable(listener);
+  });
+}
+
+size_t HttpServer::CloseIdle(size_t max_count) {
+  const Instant idle_since = this->loop.Now() - kMinIdleTime;
+  std::vector<const Connection*> idle;
+  for (const auto& [handle, connection] : this->open_connections) {
+    if (!connection->request && connection->last_used <= idle_since) {
+      idle.push_back(connection.get());
+    }
+  }
+  const size_t count = std::min(max_count, idle.size());
+  std::partial_sort(idle.begin(), idle.begin() + static_cast<ptrdiff_t>(count),
+                    idle.end(),
+                    [](const Connection* left, const Connection* right) {
+                      return left->last_used < right->last_used;
+                    });
+  // Freeing a connection takes it out of the open ones.
+  for (const Connection* connection : std::span(idle).first(count)) {
+    evhttp_connection_free(connection->handle);
+  }
+  this->idle_closed_count += count;
+  return count;
+}
+
+void HttpServer::KeepWithinLimit() {
+  if (this->open_connections.size() <= this->max_connections) return;
+  if (this->CloseIdle(1) == 0) this->PauseAccepting();
+}
+
 void HttpServer::OnRequest(evhttp_request* request, void* self) {
   static_cast<HttpServer*>(self)->Receive(request);
 }
@@ -168,6 +272,7 @@
   Connection& connection = this->FindConnection(request);
   connection.request = state;
   connection.last_used = this->loop.Now();
+  this->KeepWithinLimit();
   state->on_done = [this, responders = this->responders, raw = state.get(),
                     handle = connection.handle] {
     std::erase_if(*responders,
--- a/src/agatepass/base/http_server.h
+++ b/src/agatepass/base/http_server.h
@@ -6,6 +6,7 @@
 #define AGATEPASS_BASE_HTTP_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +28,10 @@
 struct HttpServerLimits {
   size_t header_bytes = 16 * 1024;
   size_t body_bytes = 1024 * 1024;
+  /** Connections on which requests have arrived that are kept open: beyond, the
+   * one that was idle for longest is closed, and none is accepted while all are
+   * in use. */
+  size_t connections = 1'000'000;
   /** Time after which a silent connection is closed. */
   Duration idle_time = std::chrono::seconds(60);
   /** Returns the priority of a connection's events after this request; kBulk
@@ -88,6 +93,13 @@
   /** Open connections on which a request has arrived. */
   size_t connections() const { return this->open_connections.size(); }
 
+  /** Times so far that accepting was paused, as all connections allowed were in
+   * use or the process had no descriptor left. */
+  uint64_t accept_pauses() const { return this->pause_count; }
+
+  /** Idle connections closed so far to make room for others. */
+  uint64_t idle_closed() const { return this->idle_closed_count; }
+
   /** Closes the listening socket; open connections go on. */
   void StopListening();
 
@@ -111,10 +123,22 @@
   static void OnConnectionClosed(evhttp_connection* handle, void* connection);
   void Receive(evhttp_request* request);
   Connection& FindConnection(evhttp_request* request);
+  /** Closes connections that are idle, those idle for longest first.
+   * \return how many were closed. */
+  size_t CloseIdle(size_t max_count);
+  /** Makes room for the connection that has just been accepted. */
+  void KeepWithinLimit();
+  /** Accepts no connection for a while; those that come wait in the kernel. */
+  void PauseAccepting();
+  void OnAcceptFailed();
 
   EventLoop& loop;
   Handler handler;
   EventPriority (*priority)(const HttpRequest&) = nullptr;
+  size_t max_connections;
+  std::unique_ptr<LoopEvent> resume_accepting;
+  uint64_t pause_count = 0;
+  uint64_t idle_closed_count = 0;
   evhttp* server = nullptr;
   evhttp_bound_socket* socket = nullptr;
   Endpoint bound;
