Do not start again what may have succeeded on a worker that lives unreached

Cause: after a takeover, tasks of earlier terms are started again once all workers are synced or their leases must have lapsed. A lapsed lease proves that a run has ended, not that it has failed: a worker that lives keeps the ends of its runs and lists them once it is reached. The full link only made the worker unreachable for so long: no fence failed, a belief did.

Change: while the store lists a worker that has not been synced, and the watch of the workers is fresh, jobs of earlier terms wait 10 s more for it.

Not mended: the same within one term, where a silent worker's runs are started again after its lease; a test demands that, as a worker may stay unreachable.

--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/** Longest time for which jobs of earlier terms wait, beyond all leases, for a
+ * worker that lives and cannot be reached. */
+constexpr base::Duration kMaxHoldForLivingWorker = std::chrono::seconds(10);
+
 /** Consecutive unanswered calls at which a worker is logged as unresponsive. It
  * is quarantined after each unanswered call. */
 constexpr uint32_t kUnansweredCallsToLog = 1;
@@ -338,16 +342,27 @@
 bool PoolPlanner::CanStartInheritedJobs(base::Instant now) const {
   if (this->unsynced_workers.empty()) return true;
   if (!this->HasExpired(this->inherited_runs_expire_at, now)) return false;
-  // A worker that answers may list the ends of these runs only later.
-  return std::none_of(this->unsynced_workers.begin(),
-                      this->unsynced_workers.end(),
-                      [&](const base::WorkerId& id) {
-                        const auto worker = this->workers.find(id);
-                        return worker != this->workers.end() &&
-                               worker->second->ends_truncated &&
-                               now < worker->second->last_answer_at +
-                                         this->options.worker_lease;
-                      });
+  // These runs have ended, but a worker that lives may list only later that
+  // they have succeeded.
+  const bool may_hold = !this->HasExpired(
+      this->inherited_runs_expire_at + kMaxHoldForLivingWorker, now);
+  return std::none_of(
+      this->unsynced_workers.begin(), this->unsynced_workers.end(),
+      [&](const base::WorkerId& id) {
+        const auto found = this->workers.find(id);
+        if (found == this->workers.end()) return false;
+        const WorkerState& worker = *found->second;
+        const bool lists_more =
+            worker.ends_truncated &&
+            now < worker.last_answer_at + this->options.worker_lease;
+        return lists_more || (may_hold && this->IsKnownToLive(worker, now));
+      });
+}
+
+bool PoolPlanner::IsKnownToLive(const WorkerState& worker,
+                                base::Instant now) const {
+  return worker.listed && this->workers_confirmed_at &&
+         now - *this->workers_confirmed_at < this->options.max_capacity_age;
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -348,6 +348,9 @@
   /** Whether no run of an earlier term can be left on a worker that was not
    * synced in this term. */
   bool CanStartInheritedJobs(base::Instant now) const;
+  /** Whether the store lists the worker, which reports there all the time: if
+   * it does not answer, only the way to it is cut. */
+  bool IsKnownToLive(const WorkerState& worker, base::Instant now) const;
   /** Decides whether leases may be renewed and tasks be started
    * (pool_planner.cpp). */
   void CheckLeadership(base::Instant now);
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -222,5 +222,47 @@
   EXPECT_EQ(cell.violations(), std::vector<std::string>());
 }
 
+/** A cell in which a run succeeds on a worker that no planner reaches, after a
+ * takeover. */
+class UnreachedWorker : public testing::Test {
+ protected:
+  UnreachedWorker() {
+    this->cell.Submit(MakePoolJob("a", 1, 5000, seconds(2)));
+    this->cell.RunFor(seconds(1));
+    this->busy = this->cell.worker(0).GetRuns().empty() ? 1 : 0;
+    this->cell.faults.unreachable_workers.insert(
+        base::WorkerId(this->busy == 0 ? "w0" : "w1"));
+    this->cell.KillPlanners(milliseconds(500));
+  }
+
+  JobPhase phase() { return this->cell.StoredPhase(base::JobId("a")); }
+
+  PoolCell cell{1, 2};
+  size_t busy = 0;
+};
+
+// A task that had succeeded on a worker was started again when no planner had
+// reached that worker for longer than its lease; the worker then listed the
+// end.
+TEST_F(UnreachedWorker, ATaskMayHaveSucceededOnAWorkerThatLives) {
+  this->cell.RunFor(seconds(14));
+  this->cell.faults.unreachable_workers.clear();
+  this->cell.RunFor(seconds(5));
+  EXPECT_EQ(this->cell.CountStarts({base::JobId("a"), 0, 0, 0}), 1);
+  EXPECT_EQ(this->cell.violations(), std::vector<std::string>());
+  EXPECT_EQ(this->phase(), JobPhase::kSucceeded);
+}
+
+TEST_F(UnreachedWorker, JobsDoNotWaitForItForGood) {
+  this->cell.RunFor(seconds(30));
+  EXPECT_EQ(this->phase(), JobPhase::kSucceeded);
+}
+
+TEST_F(UnreachedWorker, JobsDoNotWaitForItOnceItIsNotListed) {
+  this->cell.UnlistWorker(this->busy);
+  this->cell.RunFor(seconds(15));
+  EXPECT_EQ(this->phase(), JobPhase::kSucceeded);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
