Accept new connections in rounds, between which other events get their turn

Cause: new connections and the first requests on them have the middle priority, which goes strictly before what workers say, and had no bound: hosts whose calls were rejected or late came again on new connections.

Change: after each round of accepting, all bulk events that are due by then are handled before the next round; what comes meanwhile waits in the kernel.

--- a/src/agatepass/base/http_server.cpp
+++ b/src/agatepass/base/http_server.cpp
@@ -154,6 +154,10 @@
   evhttp_set_timeout(this->server,
                      static_cast<int>(ToSeconds(limits.idle_time)));
   evhttp_set_gencb(this->server, &HttpServer::OnRequest, this);
+  evhttp_set_bevcb(this->server, &HttpServer::OnAccepted, this);
+  this->end_round = std::make_unique<LoopEvent>(
+      loop.handle(), -1, 0, [this] { this->PauseAccepting(Duration(0)); });
+  this->end_round->SetPriority(EventPriority::kControl);
 }
 
 HttpServer::~HttpServer() {
@@ -195,16 +199,23 @@
 void HttpServer::OnAcceptFailed() {
   // The socket stays readable: without a pause its event would be due again at
   // once, before all that closes connections.
+  ++this->pause_count;
   this->CloseIdle(kClosedForDescriptors);
-  this->PauseAccepting();
+  this->PauseAccepting(kAcceptPause);
+}
+
+bufferevent* HttpServer::OnAccepted(event_base* base, void* self) {
+  // A new connection and the first request on it go before bulk events. Those
+  // that are due now get their turn before the next ones are accepted.
+  static_cast<HttpServer*>(self)->end_round->Arm(Duration(0));
+  return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 }
 
-void HttpServer::PauseAccepting() {
+void HttpServer::PauseAccepting(Duration pause) {
   if (this->socket == nullptr || this->resume_accepting) return;
-  ++this->pause_count;
   evconnlistener* listener = evhttp_bound_socket_get_listener(this->socket);
   evconnlistener_disable(listener);
-  this->resume_accepting = this->loop.After(kAcceptPause, [this, listener] {
+  this->resume_accepting = this->loop.After(pause, [this, listener] {
     this->resume_accepting.reset();
     evconnlistener_enable(listener);
   });
@@ -234,7 +245,9 @@
 
 void HttpServer::KeepWithinLimit() {
   if (this->open_connections.size() <= this->max_connections) return;
-  if (this->CloseIdle(1) == 0) this->PauseAccepting();
+  if (this->CloseIdle(kClosedForDescriptors) > 0) return;
+  ++this->pause_count;
+  this->PauseAccepting(kAcceptPause);
 }
 
 void HttpServer::OnRequest(evhttp_request* request, void* self) {
--- a/src/agatepass/base/http_server.h
+++ b/src/agatepass/base/http_server.h
@@ -17,6 +17,8 @@
 #include "agatepass/base/event_loop.h"
 #include "agatepass/base/http_message.h"
 
+struct bufferevent;
+struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -119,6 +121,7 @@
     Instant last_used;
   };
 
+  static bufferevent* OnAccepted(event_base* base, void* self);
   static void OnRequest(evhttp_request* request, void* self);
   static void OnConnectionClosed(evhttp_connection* handle, void* connection);
   void Receive(evhttp_request* request);
@@ -129,13 +132,15 @@
   /** Makes room for the connection that has just been accepted. */
   void KeepWithinLimit();
   /** Accepts no connection for a while; those that come wait in the kernel. */
-  void PauseAccepting();
+  void PauseAccepting(Duration pause);
   void OnAcceptFailed();
 
   EventLoop& loop;
   Handler handler;
   EventPriority (*priority)(const HttpRequest&) = nullptr;
   size_t max_connections;
+  /** Ends a round of accepting. */
+  std::unique_ptr<LoopEvent> end_round;
   std::unique_ptr<LoopEvent> resume_accepting;
   uint64_t pause_count = 0;
   uint64_t idle_closed_count = 0;
--- a/src/agatepass/base/tests/descriptor_limit_test.cpp
+++ b/src/agatepass/base/tests/descriptor_limit_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "agatepass/base/http_client.h"
@@ -126,6 +127,43 @@
   EXPECT_TRUE(this->Ask(client, served).refused);
 }
 
+// New connections and the first requests on them went before all that workers
+// said: callers that came again all the time stopped the planner.
+TEST_F(DescriptorLimit, NewConnectionsLetOtherEventsRun) {
+  constexpr int kMaxRequests = 3000;
+  constexpr int kOthers = 50;
+  int requests = 0;
+  std::vector<int> connections;
+  Endpoint endpoint;
+  const auto call = [&connections, &endpoint] {
+    connections.push_back(Connect(endpoint));
+    constexpr std::string_view kRequest =
+        "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    EXPECT_EQ(send(connections.back(), kRequest.data(), kRequest.size(), 0),
+              static_cast<ssize_t>(kRequest.size()));
+  };
+  HttpServer server(this->loop, {},
+                    [&](const HttpRequest&, const HttpResponder& responder) {
+                      responder.Respond({.status = 200});
+                      if (++requests == kMaxRequests) this->loop.Stop();
+                      if (connections.size() > 64) {
+                        close(connections.front());
+                        connections.erase(connections.begin());
+                      }
+                      call();
+                    });
+  ASSERT_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  endpoint = server.endpoint();
+  int others = 0;
+  const auto other = this->loop.Every(Duration(1), [&] {
+    if (++others == kOthers) this->loop.Stop();
+  });
+  for (int i = 0; i < 32; ++i) call();
+  this->loop.Run();
+  EXPECT_EQ(others, kOthers) << requests << " requests were handled";
+  for (const int connection : connections) close(connection);
+}
+
 TEST_F(DescriptorLimit, AServerClosesTheConnectionThatWasIdleForLongest) {
   HttpServer server(this->loop, {.connections = 2}, AnswerAll());
   ASSERT_TRUE(server.Listen({"127.0.0.1", 0}).ok());
