--- a/src/agatepass/pool/peer_call.cpp
+++ b/src/agatepass/pool/peer_call.cpp
@@ -113,6 +113,10 @@
   return false;
 }
 
+bool IsSubmit(const base::HttpRequest& request) {
+  return request.path == kPaths[static_cast<size_t>(PeerVerb::kSubmit)];
+}
+
 base::Duration GetPatience(const base::HttpRequest& request) {
   const auto given =
       base::ParseNumber<int64_t>(FindParameter(request, "patience_ms"));
--- a/src/agatepass/pool/peer_call.h
+++ b/src/agatepass/pool/peer_call.h
@@ -96,6 +96,9 @@
 /** Whether the request is a call of a caller, which the planner answers. */
 bool IsCallOfCaller(const base::HttpRequest& request);
 
+/** Whether the request submits a job. */
+bool IsSubmit(const base::HttpRequest& request);
+
 /** Returns the time for which the host that sent a call of a caller waits for
  * the answer; a long one if it does not say. */
 base::Duration GetPatience(const base::HttpRequest& request);
