--- a/src/agatepass/pool/call_queue.h
+++ b/src/agatepass/pool/call_queue.h
@@ -32,7 +32,7 @@
 class CallQueue {
  public:
   /** Age of the oldest call from which further ones are rejected. */
-  static constexpr base::Duration kMaxWait = std::chrono::milliseconds(400);
+  static constexpr base::Duration kMaxWait = std::chrono::milliseconds(150);
   /** Bounds the memory that calls take. */
   static constexpr size_t kMaxCalls = 4000;
 
--- a/src/agatepass/pool/tests/call_queue_test.cpp
+++ b/src/agatepass/pool/tests/call_queue_test.cpp
@@ -41,9 +41,9 @@
 TEST_F(CallQueueTest, ACallThatWouldWaitTooLongIsRejectedWhenItArrives) {
   EXPECT_FALSE(this->queue.MustReject(seconds(3), this->now));
   this->queue.Add(1, seconds(3), this->now);
-  this->now += milliseconds(200);
+  this->now += milliseconds(100);
   EXPECT_FALSE(this->queue.MustReject(seconds(3), this->now));
-  EXPECT_TRUE(this->queue.MustReject(milliseconds(300), this->now))
+  EXPECT_TRUE(this->queue.MustReject(milliseconds(180), this->now))
       << "its host would give up";
   this->now += CallQueue<int>::kMaxWait;
   EXPECT_TRUE(this->queue.MustReject(seconds(3), this->now));
