--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -231,8 +231,9 @@
         delivery == Delivery::kNotSent && this->fault.empty();
     const bool at_own_limit = IsOwnLimit(this->connect_error);
     if (failed_to_connect) {
-      this->fault = at_own_limit ? evutil_socket_error_to_string(connect_error)
-                                 : "cannot connect";
+      this->fault = at_own_limit
+                        ? evutil_socket_error_to_string(this->connect_error)
+                        : "cannot connect";
     }
     this->End({.delivery = delivery,
                .refused = failed_to_connect && !at_own_limit,
