Let urgent work need no place that other work holds, and admit by what the planner carries

Cause, by the logs: queries for advice and starts in flight were limited alike for all urgencies; two thirds of an urgent job's wait was before its query was sent, behind queries of gangs that take 1.2 s. And 150 jobs a second were accepted that need 1,600 starts a second of a planner that does 1,250, so that some queue grew without end whatever the order. Change: - Places by urgency (PlannerPlaces): urgent starts are limited by urgent ones and by how late workers answer; all others also by the lag of this process (25 ms), so that they wait as ready steps, by urgency. - StartCapacity: time of the planner for a start, from how long its loop waits; a job is rejected at once if the starts ahead of it would take longer than its objective leaves. - Each queue of the planner is logged with the age of its oldest entry, ready steps by urgency and by what they wait for (planner queues), and the loop's time by kind of work (planner work). - Cost by what changes: sizes of workers, sums of load and counts of pending jobs are kept; jobs and runs are found by hash; a query looks at three workers with room for each that it can name, not at all.

--- a/src/agatepass/pool/admission.cpp
+++ b/src/agatepass/pool/admission.cpp
@@ -33,6 +33,21 @@
          kUsableFreeShare * load.free_millicores;
 }
 
+/** Returns the number of tasks that depend on no other step. */
+double CountFirstTasks(const Job& job) {
+  double tasks = 0;
+  for (const Step& step : job.steps) {
+    if (step.depends_on.empty()) tasks += step.count;
+  }
+  return tasks;
+}
+
+/** Returns when a retry may succeed: once the wait is shorter by this much. */
+base::Duration RetryDelay(double excess_wait_s) {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(std::max(1.0, excess_wait_s)));
+}
+
 }  // namespace
 
 std::optional<base::Duration> FindAdmissionRetryDelay(
@@ -47,18 +62,24 @@
   if (policy.advice) query_s = base::ToSeconds(policy.advice->call_duration);
   const double spare_s =
       std::max(0.0, objective_s - kRunTimeFactor * critical_path_s - query_s);
+  const double allowed_wait_s = kMaxWaitShareOfSpareTime * spare_s;
+  // No free capacity helps against a planner that has too much to start; a job
+  // with more tasks than it can start in time is accepted while none wait.
+  const double start_wait_s =
+      (load.starts_ahead + CountFirstTasks(job)) / load.starts_per_second;
+  if (start_wait_s > allowed_wait_s && load.starts_ahead > 0) {
+    return RetryDelay(start_wait_s - allowed_wait_s);
+  }
   const double work =
       load.higher_priority_work + load.same_priority_work + EstimatedWork(job);
   const double wait_s = work / load.usable_millicores;
-  if (wait_s <= kMaxWaitShareOfSpareTime * spare_s) return std::nullopt;
+  if (wait_s <= allowed_wait_s) return std::nullopt;
   // A job that is too large even for an idle pool is accepted while no work is
   // waiting.
   if (load.higher_priority_work + load.same_priority_work <= 0)
     return std::nullopt;
   if (CanStartNow(load, job)) return std::nullopt;
-  const double excess_wait_s = wait_s - kMaxWaitShareOfSpareTime * spare_s;
-  return std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(std::max(1.0, excess_wait_s)));
+  return RetryDelay(wait_s - allowed_wait_s);
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/admission.h
+++ b/src/agatepass/pool/admission.h
@@ -2,12 +2,13 @@
  * Admission control: whether a job can meet its objective behind the work
  * already accepted.
  *
- * Handles bursts: work beyond what the workers can do is rejected immediately,
- * so that accepted jobs still end in time.
+ * Handles bursts: work beyond what the workers can do, or the planner can
+ * start, is rejected immediately, so that accepted jobs still end in time.
  */
 #ifndef AGATEPASS_POOL_ADMISSION_H_
 #define AGATEPASS_POOL_ADMISSION_H_
 
+#include <limits>
 #include <optional>
 
 #include "agatepass/base/time.h"
@@ -32,6 +33,11 @@
    * the same or higher priority, gangs excluded: these tasks compete for free
    * capacity immediately. */
   double waiting_millicores = 0;
+  /** Tasks in time that could start now, of queues of the same or higher
+   * priority: the planner starts them first. */
+  double starts_ahead = 0;
+  /** Starts a second that the planner can carry for this priority. */
+  double starts_per_second = std::numeric_limits<double>::infinity();
 };
 
 /** Decides whether a job is admitted.
--- a/src/agatepass/pool/advice_dispatcher.cpp
+++ b/src/agatepass/pool/advice_dispatcher.cpp
@@ -71,6 +71,14 @@
   return assignment;
 }
 
+base::Duration AdviceDispatcher::OldestWait(base::Instant now) const {
+  base::Duration oldest{0};
+  for (const AdviceQuery& query : this->queries) {
+    oldest = std::max(oldest, now - query.asked_at);
+  }
+  return oldest;
+}
+
 void AdviceDispatcher::OnDone(const base::HostId& host, bool answered,
                               base::Instant now) {
   const auto entry = this->hosts.find(host);
--- a/src/agatepass/pool/advice_dispatcher.h
+++ b/src/agatepass/pool/advice_dispatcher.h
@@ -70,6 +70,9 @@
   /** Number of queries that are not assigned yet. */
   size_t waiting_queries() const { return this->queries.size(); }
 
+  /** How long the oldest of them has waited; zero if there is none. */
+  base::Duration OldestWait(base::Instant now) const;
+
   /** Time after the latest OnHostSeen for which a host is used. */
   static constexpr base::Duration kHostTimeout = std::chrono::seconds(4);
 
--- a/src/agatepass/pool/concurrency_limit.h
+++ b/src/agatepass/pool/concurrency_limit.h
@@ -9,12 +9,22 @@
 #define AGATEPASS_POOL_CONCURRENCY_LIMIT_H_
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
+#include <cstdint>
 
 #include "agatepass/base/time.h"
 
 namespace agatepass::pool {
 
+/** Whose calls a limit counts. */
+enum class Lane : uint8_t {
+  /** Calls for urgent work, which need no place that other calls hold. */
+  kUrgent,
+  /** All others: they need one of the places that urgent calls leave. */
+  kOther,
+};
+
 /** Bounds of one limit. */
 struct ConcurrencyBounds {
   double min = 8;
@@ -27,10 +37,13 @@
 /** Adaptive limit: falls by a share while most answers are late, and grows
  * while they are in time and it is in use; fast until the first fall.
  *
+ * Urgent calls are limited by the number of urgent ones, others by the number
+ * of all.
+ *
  * \code
  * ConcurrencyLimit limit;
- * if (limit.HasRoom()) { Send(call); limit.OnSent(); }
- * limit.OnDone(delay, now);  // For each answer, also a missing one.
+ * if (limit.HasRoom(lane)) { Send(call); limit.OnSent(lane); }
+ * limit.OnDone(lane, delay, now);  // For each answer, also a missing one.
  * \endcode
  */
 class ConcurrencyLimit {
@@ -42,20 +55,23 @@
         fast_growth_until(bounds.max) {}
 
   /** Whether another call may be sent. */
-  bool HasRoom() const {
-    return static_cast<double>(this->sent) < this->allowed;
+  bool HasRoom(Lane lane) const {
+    const size_t counted =
+        lane == Lane::kUrgent ? this->InFlight(lane) : this->in_flight();
+    return static_cast<double>(counted) < this->allowed;
   }
 
   /** Records that a call is sent. */
-  void OnSent() { ++this->sent; }
+  void OnSent(Lane lane) { ++this->sent[static_cast<size_t>(lane)]; }
 
   /** Records that a call has ended.
    * \param delay how late it ended: by that much less it would have been in
    *     time.
    * \param now current time. */
-  void OnDone(base::Duration delay, base::Instant now) {
-    const bool in_use = 2 * static_cast<double>(this->sent) >= this->allowed;
-    if (this->sent > 0) --this->sent;
+  void OnDone(Lane lane, base::Duration delay, base::Instant now) {
+    const bool in_use =
+        2 * static_cast<double>(this->in_flight()) >= this->allowed;
+    this->OnForgotten(lane);
     ++this->answers;
     if (delay > this->bounds.max_delay) ++this->late_answers;
     if (in_use && delay <= this->bounds.max_delay) this->Grow();
@@ -67,8 +83,22 @@
     this->late_answers = 0;
   }
 
+  /** Records that a call does not count any more, whose answer will tell
+   * nothing of delays. */
+  void OnForgotten(Lane lane) {
+    size_t& count = this->sent[static_cast<size_t>(lane)];
+    if (count > 0) --count;
+  }
+
   /** Calls in flight now. */
-  size_t in_flight() const { return this->sent; }
+  size_t in_flight() const {
+    return this->InFlight(Lane::kUrgent) + this->InFlight(Lane::kOther);
+  }
+
+  /** Calls of one lane in flight now. */
+  size_t InFlight(Lane lane) const {
+    return this->sent[static_cast<size_t>(lane)];
+  }
 
   /** Calls that may be in flight now. */
   double limit() const { return this->allowed; }
@@ -98,7 +128,7 @@
   double allowed;
   /** Up to this limit each answer in time allows one call more. */
   double fast_growth_until;
-  size_t sent = 0;
+  std::array<size_t, 2> sent{};
   base::Instant period_end;
   size_t answers = 0;
   size_t late_answers = 0;
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -205,6 +205,7 @@
    * host. */
   base::Duration expected_duration{0};
   uint32_t priority = 0;
+  base::Instant asked_at;
 };
 
 /** A write to one key; without a value the key is removed. */
--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "agatepass/pool/pool_planner.h"
+#include "agatepass/pool/urgency.h"
 
 namespace agatepass::pool {
 
@@ -14,6 +15,10 @@
  * query to query; a prime, so that most workers come first in turn. */
 constexpr size_t kQueryOffset = 37;
 
+/** Workers with free capacity among which those to name are chosen, for each
+ * that a query can name: more cost more in large pools and hardly help. */
+constexpr size_t kCandidatesPerNamedWorker = 3;
+
 /** Time by which renewed tickets should arrive before the reserved resources
  * are expected to be free. */
 constexpr base::Duration kRenewalLead = std::chrono::milliseconds(200);
@@ -39,9 +44,19 @@
   // After an answer only workers with free capacity are worth a further query:
   // advice about workers that are as busy as the known ones would not help.
   const bool only_with_capacity = step.advice.answered;
-  this->totals.workers_examined += this->workers_by_index.size();
+  const size_t count = this->workers_by_index.size();
+  // Steps that query at the same time start with different workers.
+  const size_t first =
+      count == 0 ? 0 : this->totals.advice_queries * kQueryOffset % count;
   std::vector<AdviceCandidate> candidates;
-  for (const WorkerState* worker : this->workers_by_index) {
+  size_t with_capacity = 0;
+  for (size_t i = 0; i < count; ++i) {
+    if (with_capacity >=
+        kCandidatesPerNamedWorker * this->options.max_workers_per_query) {
+      break;
+    }
+    ++this->totals.workers_examined;
+    const WorkerState* worker = this->workers_by_index[(first + i) % count];
     if (worker == nullptr) continue;
     if (step.advice.covered_workers.Contains(worker->index)) continue;
     AdviceCandidate candidate{.worker = worker->index};
@@ -51,6 +66,7 @@
     if (only_with_capacity && candidate.fits_now == 0) continue;
     if (!this->IsSuitable(*worker, step)) continue;
     candidate.fits_when_empty = this->CountFitsOnEmpty(*worker, step);
+    if (candidate.fits_now > 0) ++with_capacity;
     candidates.push_back(candidate);
   }
   return candidates;
@@ -68,7 +84,10 @@
   AdviceState& advice = step.advice;
   if (advice.in_flight || time.now < advice.retry_at) return;
   if (time.now < advice.next_look_at) return;
-  if (!this->advice_limit.HasRoom()) return;
+  if (!this->places.HasRoomForQuery(GetLane(step, time.now))) {
+    step.wait.Set(WaitReason::kQueryPlace, time.now);
+    return;
+  }
   std::vector<AdviceCandidate> candidates =
       this->FindAdviceCandidates(step, time);
   uint32_t fitting_tasks = 0;
@@ -89,11 +108,6 @@
     this->PostponeAdviceLook(step, time.now);
     return;
   }
-  // Steps that query at the same time start with different workers.
-  const auto offset = static_cast<std::ptrdiff_t>(
-      this->totals.advice_queries * kQueryOffset % candidates.size());
-  std::rotate(candidates.begin(), candidates.begin() + offset,
-              candidates.end());
   const AdviceDemand demand{
       .tasks = step.waiting,
       .allowed_share = allowed_share,
@@ -112,7 +126,8 @@
   StepState& step = *reservation.step;
   AdviceState& advice = step.advice;
   if (advice.in_flight || time.now < advice.retry_at ||
-      time.now < advice.next_look_at || !this->advice_limit.HasRoom()) {
+      time.now < advice.next_look_at ||
+      !this->places.HasRoomForQuery(GetLane(step, time.now))) {
     return;
   }
   const AdvicePolicy& policy = *step.job->policy.advice;
@@ -150,14 +165,17 @@
                     .occurrence = step.occurrence,
                     .step = step.step_index,
                     .workers = std::move(workers_to_name),
-                    .priority = step.job->policy.priority};
+                    .priority = step.job->policy.priority,
+                    .asked_at = time.now};
   if (const auto& advice = step.job->policy.advice) {
     query.expected_duration =
         advice->call_duration + advice->duration_per_worker *
                                     static_cast<int64_t>(query.workers.size());
   }
-  this->advice_limit.OnSent();
+  step.advice.lane = GetLane(step, time.now);
+  this->places.OnQuerySent(step.advice.lane);
   step.advice.in_flight = true;
+  step.wait.Set(WaitReason::kAdvice, time.now);
   step.advice.asked_at = time.now;
   step.advice.query_workers = query.workers;
   ++this->totals.advice_queries;
@@ -167,12 +185,11 @@
 void PoolPlanner::OnAdvice(const base::JobId& job, uint32_t occurrence,
                            uint32_t step_number, const AdviceReply& reply,
                            const PlannerTime& time) {
-  // The service may be slow too: only a late reader is a reason to ask less.
-  this->advice_limit.OnDone(this->input_lag, time.now);
   StepState* step = this->FindStep({job, occurrence, step_number, 0});
   if (step == nullptr || !step->advice.in_flight) return;
   AdviceState& advice = step->advice;
   advice.in_flight = false;
+  this->places.OnQueryDone(advice.lane, this->input_lag, time.now);
   this->ReleaseTicketReservations(*step);
   if (!step->job->IsOpen()) return;
   this->scheduling_needed = true;
@@ -220,7 +237,8 @@
                 step_number, advice.query_workers.size(), reply.tickets.size(),
                 base::ToMilliseconds(time.now - advice.asked_at));
   // Placed immediately, before other steps take the capacity that was reserved.
-  if (!this->handing_over && !this->superseded && this->start_limit.HasRoom() &&
+  if (!this->handing_over && !this->superseded &&
+      this->places.HasRoomForStart(GetLane(*step, time.now)) &&
       this->IsReady(*step, time)) {
     this->PlaceStep(*step, time);
   }
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -6,6 +6,20 @@
 
 namespace agatepass::pool {
 
+namespace {
+
+/** Time for which a count of pending jobs is told again. */
+constexpr base::Duration kPendingCountPeriod = std::chrono::milliseconds(50);
+
+/** Returns the number of tasks of one occurrence of a job. */
+double CountTasks(const Job& job) {
+  double tasks = 0;
+  for (const Step& step : job.steps) tasks += step.count;
+  return tasks;
+}
+
+}  // namespace
+
 void PoolPlanner::Answer(CallId call, base::ResultCode code,
                          std::string detail) {
   this->effects.push_back(
@@ -69,24 +83,40 @@
   job.policy = queue->policy;
   JobState& state = this->AddJob(std::move(job), time);
   this->AddToLoad(state, time.now);
+  this->capacity.OnAccepted(state.policy.priority, CountTasks(state.job),
+                            time.now);
   state.waiting_submits.push_back(call);
   this->QueueWrite(state);
   this->scheduling_needed = true;
 }
 
 bool PoolPlanner::FitsAnyWorker(const Job& job,
-                                const base::ServiceId& service) const {
-  bool has_workers = false;
-  for (const Step& step : job.steps) {
-    bool fits = false;
-    for (const auto& [id, worker] : this->workers) {
-      if (!worker->listed || worker->record.service != service) continue;
-      has_workers = true;
-      if (step.need.FitsIn(worker->largest_total)) fits = true;
+                                const base::ServiceId& service) {
+  const std::vector<platform::Resources>& sizes =
+      this->FindWorkerSizes(service);
+  if (sizes.empty()) return true;
+  return std::all_of(
+      job.steps.begin(), job.steps.end(), [&sizes](const Step& step) {
+        return std::any_of(sizes.begin(), sizes.end(),
+                           [&step](const platform::Resources& size) {
+                             return step.need.FitsIn(size);
+                           });
+      });
+}
+
+const std::vector<platform::Resources>& PoolPlanner::FindWorkerSizes(
+    const base::ServiceId& service) {
+  const auto [entry, is_new] = this->worker_sizes.try_emplace(service);
+  std::vector<platform::Resources>& sizes = entry->second;
+  if (!is_new) return sizes;
+  for (const auto& [id, worker] : this->workers) {
+    if (!worker->listed || worker->record.service != service) continue;
+    if (std::find(sizes.begin(), sizes.end(), worker->largest_total) ==
+        sizes.end()) {
+      sizes.push_back(worker->largest_total);
     }
-    if (has_workers && !fits) return false;
   }
-  return true;
+  return sizes;
 }
 
 void PoolPlanner::ApplyQueuePolicy(JobState& job) {
@@ -126,6 +156,7 @@
   }
   JobState& added = *state;
   this->open[added.job.id] = &added;
+  this->jobs_by_id[added.job.id] = &added;
   this->jobs[added.job.id] = std::move(state);
   return added;
 }
@@ -143,10 +174,15 @@
   for (const auto& step : job.steps) {
     this->DropGangReservation(*step);
     this->ReleaseTicketReservations(*step);
+    if (step->advice.in_flight) {
+      this->places.OnQueryDone(step->advice.lane, this->input_lag, time.now);
+    }
   }
   this->open.erase(job.job.id);
   this->unwritten_jobs.Remove(job.job.id);
-  this->jobs.erase(base::JobId(job.job.id));
+  const base::JobId id = job.job.id;
+  this->jobs_by_id.erase(id);
+  this->jobs.erase(id);
 }
 
 void PoolPlanner::Cancel(CallId call, const base::JobId& id,
@@ -183,18 +219,23 @@
       .call = call, .code = base::ResultCode::kOk, .phase = phase});
 }
 
-void PoolPlanner::CountPending(CallId call, const std::string& queue) {
-  uint64_t pending = 0;
-  for (const auto& [id, job] : this->open) {
-    if (job->job.queue == queue && job->stored &&
-        job->phase == JobPhase::kQueued) {
-      ++pending;
+void PoolPlanner::CountPending(CallId call, const std::string& queue,
+                               const PlannerTime& time) {
+  if (time.now >= this->pending_valid_until) {
+    this->pending_valid_until = time.now + kPendingCountPeriod;
+    this->pending_by_queue.clear();
+    for (const auto& [id, job] : this->open) {
+      if (job->stored && job->phase == JobPhase::kQueued) {
+        ++this->pending_by_queue[job->job.queue];
+      }
     }
   }
-  this->effects.push_back(CallerAnswer{.call = call,
-                                       .code = base::ResultCode::kOk,
-                                       .pending = pending,
-                                       .counts_pending = true});
+  const auto counted = this->pending_by_queue.find(queue);
+  this->effects.push_back(CallerAnswer{
+      .call = call,
+      .code = base::ResultCode::kOk,
+      .pending = counted == this->pending_by_queue.end() ? 0 : counted->second,
+      .counts_pending = true});
 }
 
 void PoolPlanner::OnStoreCheck(CallId call, std::optional<bool> exists) {
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -125,6 +125,7 @@
     SentCommit sent;
     if (!this->FillCommit(commit, sent) && !probing) break;
     commit.id = this->next_commit_id++;
+    sent.sent_at = time.now;
     this->commits.emplace(commit.id, std::move(sent));
     ++this->totals.commits;
     this->last_commit =
@@ -145,9 +146,8 @@
       break;
     }
     if (this->being_written.contains(id)) continue;
-    const auto found = this->jobs.find(id);
-    if (found != this->jobs.end()) {
-      this->AddJobWrites(*found->second, commit, sent);
+    if (JobState* job = this->FindJob(id)) {
+      this->AddJobWrites(*job, commit, sent);
     }
     selected.push_back(id);
   }
@@ -278,9 +278,9 @@
     if (job != this->jobs.end()) this->MarkStored(*job->second, time);
   }
   for (const auto& [id, changes] : sent.progress_written) {
-    const auto found = this->jobs.find(id);
-    if (found == this->jobs.end()) continue;
-    JobState& job = *found->second;
+    JobState* found = this->FindJob(id);
+    if (found == nullptr) continue;
+    JobState& job = *found;
     job.progress_revision = revision;
     job.stored_changes = std::max(job.stored_changes, changes);
     if (job.stored_changes == job.changes) {
@@ -364,10 +364,8 @@
   const uint64_t before = worker.last_stored_end;
   while (!worker.unstored_ends.empty()) {
     const UnstoredEnd& end = worker.unstored_ends.front();
-    const auto job = this->jobs.find(end.job);
-    if (job != this->jobs.end() && job->second->stored_changes < end.changes) {
-      break;
-    }
+    const JobState* job = this->FindJob(end.job);
+    if (job != nullptr && job->stored_changes < end.changes) break;
     worker.last_stored_end = end.sequence_number;
     worker.unstored_ends.pop_front();
   }
@@ -404,6 +402,7 @@
       sent.compacted.push_back(id);
     }
     if (commit.writes.empty()) break;
+    sent.sent_at = time.now;
     this->commits.emplace(commit.id, std::move(sent));
     this->effects.push_back(std::move(commit));
   }
@@ -435,10 +434,12 @@
     commit.writes.push_back({.key = ProgressKey(entry->first)});
     sent.removed.push_back(entry->first);
     this->unwritten_jobs.Remove(entry->first);
+    this->jobs_by_id.erase(entry->first);
     entry = this->jobs.erase(entry);
   }
   if (commit.writes.empty()) return;
   commit.id = this->next_commit_id++;
+  sent.sent_at = time.now;
   this->commits.emplace(commit.id, std::move(sent));
   this->effects.push_back(std::move(commit));
 }
--- a/src/agatepass/pool/planner_counts.h
+++ b/src/agatepass/pool/planner_counts.h
@@ -4,10 +4,12 @@
 #ifndef AGATEPASS_POOL_PLANNER_COUNTS_H_
 #define AGATEPASS_POOL_PLANNER_COUNTS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 
 #include "agatepass/base/time.h"
+#include "agatepass/pool/step_wait.h"
 
 namespace agatepass::pool {
 
@@ -53,11 +55,28 @@
   size_t open_jobs = 0;
   /** Ready steps in the last scheduling pass. */
   size_t ready_steps = 0;
+  /** Ready steps since they became ready, by urgency. */
+  std::array<QueueAge, 4> ready_by_urgency;
+  /** Ready steps since they wait for their present reason. */
+  std::array<QueueAge, kWaitReasons> ready_by_reason;
+  /** Queries for advice that are not answered. */
+  QueueAge queries;
   /** Runs whose start is requested and not confirmed. */
-  size_t unconfirmed_starts = 0;
-  /** Starts and queries for advice that may be in flight. */
+  QueueAge unconfirmed_starts;
+  /** Runs that were told to stop and have not ended. */
+  QueueAge stops;
+  /** Accepted jobs that are not stored yet, and commits without an answer. */
+  QueueAge unstored_jobs;
+  QueueAge commits;
+  /** Ends that were read and whose effect is not stored. */
+  QueueAge unstored_ends;
+  /** Starts that may be in flight, by the workers' answers; the same for work
+   * that is not urgent, by this process's lag; queries of the latter. */
   double start_limit = 0;
-  double advice_limit = 0;
+  double other_start_limit = 0;
+  double other_query_limit = 0;
+  /** Starts a second that this planner can carry; infinite while unknown. */
+  double starts_per_second = 0;
   /** Syncs that should have been answered, and the time by which the answer to
    * the oldest of them is late. */
   size_t late_syncs = 0;
--- a/src/agatepass/pool/planner_load.cpp
+++ b/src/agatepass/pool/planner_load.cpp
@@ -10,7 +10,7 @@
 
 /** A load is used for the time in which this many could be summed up, which
  * bounds the part of the planner's time that admission takes. */
-constexpr double kLoadsPerInterval = 4;
+constexpr double kLoadsPerInterval = 40;
 
 /** Returns the estimated processor time of a job's waiting tasks, in
  * millicore-seconds. */
@@ -32,6 +32,7 @@
   for (const auto& [other, waiting] : service.waiting) {
     if (other > priority) break;
     load.waiting_millicores += waiting.startable_millicores;
+    load.starts_ahead += waiting.startable_tasks;
     (other < priority ? load.higher_priority_work : load.same_priority_work) +=
         waiting.work;
   }
@@ -46,10 +47,13 @@
   if (now < load.valid_until) return load;
   load = {};
   size_t examined = 0;
-  for (const auto& [id, worker] : this->workers) {
+  for (const WorkerState* worker : this->workers_by_index) {
     ++examined;
-    if (!worker->listed || worker->record.draining) continue;
+    if (worker == nullptr || !worker->listed || worker->record.draining)
+      continue;
     if (worker->record.service != service) continue;
+    load.used_millicores += worker->used.millicores;
+    load.total_millicores += worker->record.total.millicores;
     if (now < worker->quarantined_until) continue;
     load.usable_millicores +=
         static_cast<double>(worker->record.total.millicores) *
@@ -82,6 +86,9 @@
   WaitingLoad& waiting = load.waiting[job.policy.priority];
   waiting.work += WaitingWork(job);
   waiting.startable_millicores += this->StartableMillicores(job, now);
+  if (now <= job.objective_end) {
+    waiting.startable_tasks += this->CountStartableTasks(job, now);
+  }
 }
 
 void PoolPlanner::AddToLoad(const JobState& job, base::Instant now) {
@@ -93,26 +100,39 @@
 std::optional<base::Duration> PoolPlanner::CheckOverload(const Job& job,
                                                          const Queue& queue,
                                                          base::Instant now) {
-  const PoolLoad load = SelectLoad(this->FindLoad(queue.policy.service, now),
-                                   queue.policy.priority);
+  PoolLoad load = SelectLoad(this->FindLoad(queue.policy.service, now),
+                             queue.policy.priority);
+  load.starts_per_second = this->capacity.RateFor(queue.policy.priority, now);
   const auto retry_delay = FindAdmissionRetryDelay(load, job, queue.policy);
   if (retry_delay) {
-    const auto [used, total] = this->GetProcessorUsage();
+    const ServiceLoad& sum = this->loads[queue.policy.service];
     this->log.Add(now, "pool overloaded",
                   "job={} priority={} usable_millicores={:.0f} "
                   "in_use_millicores={} total_millicores={} "
                   "higher_priority_core_s={:.0f} "
                   "same_priority_core_s={:.0f} job_core_s={:.0f} "
-                  "free_millicores={:.0f} waiting_millicores={:.0f}",
+                  "free_millicores={:.0f} waiting_millicores={:.0f} "
+                  "starts_ahead={:.0f} starts_per_second={:.0f}",
                   job.id.value, queue.policy.priority, load.usable_millicores,
-                  used, total, load.higher_priority_work / kMillicoresPerCore,
+                  sum.used_millicores, sum.total_millicores,
+                  load.higher_priority_work / kMillicoresPerCore,
                   load.same_priority_work / kMillicoresPerCore,
                   EstimatedWork(job) / kMillicoresPerCore, load.free_millicores,
-                  load.waiting_millicores);
+                  load.waiting_millicores, load.starts_ahead,
+                  load.starts_per_second);
   }
   return retry_delay;
 }
 
+double PoolPlanner::CountStartableTasks(const JobState& job,
+                                        base::Instant now) const {
+  double tasks = 0;
+  for (const auto& step : job.steps) {
+    if (this->IsReady(*step, {now, 0})) tasks += step->waiting;
+  }
+  return tasks;
+}
+
 double PoolPlanner::StartableMillicores(const JobState& job,
                                         base::Instant now) const {
   double millicores = 0;
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -33,7 +33,7 @@
   this->ready_steps = ready.size();
   // More urgent work may use up the limit of starts for as long as it comes.
   if (this->passes_without_room >= kPassesPerOldestFirst &&
-      this->start_limit.HasRoom()) {
+      this->places.HasRoomForStart(Lane::kOther)) {
     this->passes_without_room = 0;
     std::stable_sort(ready.begin(), ready.end(),
                      [](const StepState* left, const StepState* right) {
@@ -46,9 +46,13 @@
       this->ReleaseTicketReservations(*step);
     }
     // What is sent in vain would delay the ends that make room.
-    if (this->start_limit.HasRoom()) this->PlaceStep(*step, time);
+    if (this->places.HasRoomForStart(GetLane(*step, time.now))) {
+      this->PlaceStep(*step, time);
+    } else {
+      step->wait.Set(WaitReason::kStartPlace, time.now);
+    }
   }
-  if (!this->start_limit.HasRoom()) ++this->passes_without_room;
+  if (!this->places.HasRoomForStart(Lane::kOther)) ++this->passes_without_room;
   const uint64_t examined = this->totals.workers_examined - examined_before;
   this->earliest_scheduling_at =
       time.now +
@@ -84,6 +88,10 @@
   for (const auto& [id, job] : this->open) {
     for (const auto& step : job->steps) {
       if (!this->IsReady(*step, time)) continue;
+      if (!step->ready_since) {
+        step->ready_since = time.now;
+        step->wait = {.since = time.now};
+      }
       ready.emplace_back(GetUrgency(*step, time.now),
                          job->objective_end - step->remaining_critical_path,
                          step.get());
@@ -106,8 +114,15 @@
     this->RequestMoreAdvice(step, time);
     return;
   }
-  if (!step.job->stored) return;
-  if (step.job->inherited && !this->CanStartInheritedJobs(time.now)) return;
+  if (!step.job->stored) {
+    step.wait.Set(WaitReason::kStore, time.now);
+    return;
+  }
+  if (step.job->inherited && !this->CanStartInheritedJobs(time.now)) {
+    step.wait.Set(WaitReason::kEarlierTerms, time.now);
+    return;
+  }
+  if (!step.advice.in_flight) step.wait.Set(WaitReason::kResources, time.now);
   if (step.advice.in_flight && !step.ticket_reservations.empty()) return;
   const bool is_gang = step.definition->gang;
   if (is_gang && step.waiting < step.tasks.size()) return;
@@ -221,6 +236,7 @@
                            unused);
   };
   this->PlaceTrials(step, candidates, time);
+  const Lane lane = GetLane(step, time.now);
   std::vector<std::pair<WorkerState*, uint32_t>> expired_tickets;
   uint32_t tasks_needing_renewal = 0;
   for (uint32_t i = 0; i < step.tasks.size(); ++i) {
@@ -228,7 +244,10 @@
     if (task.succeeded || task.current_run != nullptr) continue;
     if (time.now < task.earliest_start) continue;
     if (this->NeedsTrial(step, task, time.now)) continue;
-    if (!this->start_limit.HasRoom()) break;
+    if (!this->places.HasRoomForStart(lane)) {
+      step.wait.Set(WaitReason::kStartPlace, time.now);
+      break;
+    }
     Candidate* best = nullptr;
     for (Candidate& candidate : candidates) {
       if (candidate.fits == 0) continue;
@@ -272,7 +291,8 @@
   this->RecordLease(worker, time.now);
   if (job.phase == JobPhase::kQueued) job.phase = JobPhase::kRunning;
   ++this->totals.starts;
-  this->start_limit.OnSent();
+  run.start_place = GetLane(step, time.now);
+  this->places.OnStartSent(*run.start_place);
   this->log.Add(
       time.now, "start requested",
       "task={} run={} worker={} since_accepted_ms={} free_millicores={}",
@@ -296,7 +316,10 @@
     const PlannerTime& time) {
   if (step.advice.in_flight || time.now < step.advice.retry_at) return;
   if (time.now < step.advice.next_look_at) return;
-  if (!this->advice_limit.HasRoom()) return;
+  if (!this->places.HasRoomForQuery(GetLane(step, time.now))) {
+    step.wait.Set(WaitReason::kQueryPlace, time.now);
+    return;
+  }
   this->ReleaseTicketReservations(step);
   std::vector<base::WorkerId> workers_to_name;
   for (const auto& [worker, count] : plan) {
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -36,7 +36,7 @@
     TaskState& state = step->tasks[task.index];
     state.current_run = &added;
     state.last_run = std::max(state.last_run, number);
-    --step->waiting;
+    if (--step->waiting == 0) step->ready_since.reset();
   }
   this->runs[{task, number}] = std::move(run);
   return added;
@@ -47,10 +47,15 @@
   return found == this->runs.end() ? nullptr : found->second.get();
 }
 
+JobState* PoolPlanner::FindJob(const base::JobId& id) const {
+  const auto found = this->jobs_by_id.find(id);
+  return found == this->jobs_by_id.end() ? nullptr : found->second;
+}
+
 StepState* PoolPlanner::FindStep(const TaskName& task) {
-  const auto found = this->jobs.find(task.job);
-  if (found == this->jobs.end()) return nullptr;
-  JobState& job = *found->second;
+  JobState* found = this->FindJob(task.job);
+  if (found == nullptr) return nullptr;
+  JobState& job = *found;
   const size_t position =
       static_cast<size_t>(task.occurrence) * job.job.steps.size() + task.step;
   if (task.step >= job.job.steps.size() || position >= job.steps.size()) {
@@ -70,6 +75,7 @@
     if (!task.succeeded) ++run.step->waiting;
   }
   this->EndTrial(run);
+  if (run.start_place) this->places.OnStartForgotten(*run.start_place);
   const RunKey key(run.task, run.run_number);
   this->stopping_runs.erase(key);
   this->runs.erase(key);
@@ -80,6 +86,7 @@
   if (run.phase == RunPhase::kStopping) return;
   run.phase = RunPhase::kStopping;
   run.next_stop = at;
+  run.stop_requested_at = at;
   this->stopping_runs.emplace(run.task, run.run_number);
 }
 
@@ -101,6 +108,7 @@
   }
   worker.unstored_ends.push_back({.sequence_number = report.sequence_number,
                                   .job = report.task.job,
+                                  .read_at = time.now,
                                   .changes = changes});
 }
 
@@ -229,8 +237,7 @@
 
 base::Duration PoolPlanner::DelayBeyondLag(const RunState& run,
                                            base::Instant now) const {
-  const base::Duration delay = now - run.start_requested_at;
-  return std::max(delay - kLagsPerCall * this->input_lag, this->input_lag);
+  return now - run.start_requested_at - kLagsPerCall * this->input_lag;
 }
 
 void PoolPlanner::OnStart(const TaskName& task, RunNumber number,
@@ -241,11 +248,12 @@
     return;
   }
   RunState* run = this->FindRun(task, number);
-  this->start_limit.OnDone(
-      run == nullptr ? this->input_lag : this->DelayBeyondLag(*run, time.now),
-      time.now);
   this->scheduling_needed = true;
   if (run == nullptr) return;
+  if (const auto lane = std::exchange(run->start_place, std::nullopt)) {
+    this->places.OnStartDone(*lane, this->DelayBeyondLag(*run, time.now),
+                             this->input_lag, time.now);
+  }
   WorkerState& worker = *run->worker;
   const bool may_be_former =
       worker.MayConcernFormerIncarnation(run->start_requested_at);
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -1,6 +1,5 @@
 // Syncs with workers: when they are sent, and what the answers tell of runs.
 #include <algorithm>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -210,13 +209,17 @@
 void PoolPlanner::HandleMissingRuns(WorkerState& worker, base::Instant sent_at,
                                     const SyncReply& reply,
                                     const PlannerTime& time) {
-  std::set<RunKey> reported;
-  for (const ReportedRun& report : reply.running) {
-    reported.emplace(report.task, report.run);
-  }
+  // Few run on one worker.
+  const auto is_reported = [&reply](const RunState& run) {
+    return std::any_of(reply.running.begin(), reply.running.end(),
+                       [&run](const ReportedRun& report) {
+                         return report.run == run.run_number &&
+                                report.task == run.task;
+                       });
+  };
   std::vector<RunState*> missing;
   for (RunState* run : worker.runs) {
-    if (reported.contains({run->task, run->run_number})) continue;
+    if (is_reported(*run)) continue;
     const bool stopped =
         run->stop_confirmed_at && *run->stop_confirmed_at < sent_at;
     const bool vanished =
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -62,6 +62,7 @@
     this->ForgetIncarnation(*slot, time);
     slot->leaves_at.reset();
     slot->largest_total = {};
+    this->worker_sizes.clear();
   }
   if (record.draining && !slot->record.draining) {
     this->log.Add(time.now, "worker draining", "worker={} remaining_ms={}",
@@ -75,8 +76,14 @@
                   record.total.memory_mib, record.total.accelerators,
                   slot->record.total.millicores, slot->used.millicores);
   }
+  const platform::Resources largest_total =
+      platform::Max(slot->largest_total, record.total);
+  if (!slot->listed || slot->record.service != record.service ||
+      slot->largest_total != largest_total) {
+    this->worker_sizes.clear();
+  }
   slot->record = record;
-  slot->largest_total = platform::Max(slot->largest_total, record.total);
+  slot->largest_total = largest_total;
   slot->rack = RackOf(record);
   slot->listed = true;
   slot->replaced = false;
@@ -93,6 +100,7 @@
   const auto found = this->workers.find(id);
   if (found == this->workers.end()) return;
   found->second->listed = false;
+  this->worker_sizes.clear();
   this->log.Add(time.now, "worker unlisted",
                 "worker={} runs={} draining={} last_answer_ms={}", id.value,
                 found->second->runs.size(), found->second->record.draining,
@@ -290,27 +298,23 @@
 }
 
 void PoolPlanner::DropExpiredWorkers(const PlannerTime& time) {
-  for (auto entry = this->workers.begin(); entry != this->workers.end();) {
-    WorkerState& worker = *entry->second;
-    if (!this->HasExpired(worker.lease_expires_at, time.now)) {
-      ++entry;
-      continue;
-    }
+  // By index: entries may be removed meanwhile.
+  for (size_t i = 0; i < this->workers_by_index.size(); ++i) {
+    if (this->workers_by_index[i] == nullptr) continue;
+    WorkerState& worker = *this->workers_by_index[i];
+    if (!this->HasExpired(worker.lease_expires_at, time.now)) continue;
     if (!worker.runs.empty()) this->DropLostRuns(worker, false, time);
     const bool removable =
         !worker.listed && !worker.sync_in_flight &&
         time.now > worker.last_answer_at + this->options.worker_lease &&
         worker.gang_reservations.empty() &&
         worker.reserved_for_tickets == platform::Resources{};
-    if (removable) {
-      this->log.Add(time.now, "worker removed", "worker={}",
-                    entry->first.value);
-      this->roster_is_stale = this->roster_is_stale || worker.in_roster;
-      this->RemoveWorker(worker);
-      entry = this->workers.erase(entry);
-    } else {
-      ++entry;
-    }
+    if (!removable) continue;
+    const base::WorkerId id = worker.record.worker;
+    this->log.Add(time.now, "worker removed", "worker={}", id.value);
+    this->roster_is_stale = this->roster_is_stale || worker.in_roster;
+    this->RemoveWorker(worker);
+    this->workers.erase(id);
   }
 }
 
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -228,23 +228,6 @@
                       });
 }
 
-PlannerBacklog PoolPlanner::MeasureBacklog(base::Instant now) const {
-  PlannerBacklog backlog{.open_jobs = this->open.size(),
-                         .ready_steps = this->ready_steps,
-                         .start_limit = this->start_limit.limit(),
-                         .advice_limit = this->advice_limit.limit()};
-  for (const auto& [key, run] : this->runs) {
-    if (run->phase == RunPhase::kStartRequested) ++backlog.unconfirmed_starts;
-  }
-  for (const auto& [id, worker] : this->workers) {
-    if (!worker->sync_in_flight || now <= worker->sync_due_at) continue;
-    ++backlog.late_syncs;
-    backlog.oldest_late_sync =
-        std::max(backlog.oldest_late_sync, now - worker->sync_due_at);
-  }
-  return backlog;
-}
-
 std::pair<int64_t, int64_t> PoolPlanner::GetProcessorUsage() const {
   int64_t used = 0;
   int64_t total = 0;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -19,18 +19,20 @@
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/pool/advice_choice.h"
-#include "agatepass/pool/concurrency_limit.h"
 #include "agatepass/pool/crash_watch.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
 #include "agatepass/pool/planner_counts.h"
 #include "agatepass/pool/planner_options.h"
+#include "agatepass/pool/planner_places.h"
 #include "agatepass/pool/pool_state.h"
 #include "agatepass/pool/queue_index.h"
 #include "agatepass/pool/record_codec.h"
+#include "agatepass/pool/start_capacity.h"
 #include "agatepass/pool/store_health.h"
 #include "agatepass/pool/write_backlog.h"
 #include "agatepass/timeline/decision_log.h"
@@ -119,7 +121,8 @@
   void Describe(CallId call, const base::JobId& job, const PlannerTime& time);
 
   /** Answers with the number of a queue's jobs of which no task has started. */
-  void CountPending(CallId call, const std::string& queue);
+  void CountPending(CallId call, const std::string& queue,
+                    const PlannerTime& time);
 
   // Replies to effects.
 
@@ -171,6 +174,14 @@
   /** Records how long inputs wait at present before they are passed in. */
   void SetInputLag(base::Duration lag) { this->input_lag = lag; }
 
+  /** Records how much of a period this process was not waiting, by which jobs
+   * are admitted that it can carry. */
+  void RecordWork(base::Duration busy, base::Duration period) {
+    this->capacity.OnPeriod(this->totals.starts - this->starts_recorded, busy,
+                            period);
+    this->starts_recorded = this->totals.starts;
+  }
+
   /** Whether all jobs are in the store and no cancellation waits for it, so
    * that the term may end. */
   bool IsReadyForHandover() const;
@@ -212,6 +223,7 @@
      * it. */
     bool has_roster = false;
     std::vector<base::WorkerId> roster_workers;
+    base::Instant sent_at;
   };
 
   /** A worker's silence, with the queues of the jobs that had unproven runs
@@ -237,7 +249,10 @@
               const PlannerTime& time);
   /** Whether each step fits on some worker of the service, if nothing runs
    * there; true while there are no workers. */
-  bool FitsAnyWorker(const Job& job, const base::ServiceId& service) const;
+  bool FitsAnyWorker(const Job& job, const base::ServiceId& service);
+  /** Returns the distinct sizes of the service's listed workers. */
+  const std::vector<platform::Resources>& FindWorkerSizes(
+      const base::ServiceId& service);
   /** Sets the job's policy from the configuration, and its objective. */
   void ApplyQueuePolicy(JobState& job);
   JobState& AddJob(Job job, const PlannerTime& time);
@@ -260,6 +275,8 @@
   /** Returns the millicores needed by a job's tasks that could start now,
    * gangs excluded. Steps of jobs with occurrences are left out. */
   double StartableMillicores(const JobState& job, base::Instant now) const;
+  /** Returns the number of the job's tasks that could start now. */
+  double CountStartableTasks(const JobState& job, base::Instant now) const;
 
   // planner_commits.cpp
   /** Whether more writes wait than one commit can hold. */
@@ -465,7 +482,7 @@
                    StepState* step, const platform::Resources& need);
   RunState* FindRun(const TaskName& task, RunNumber run);
   /** Returns how long the answer to a run's start took on the way and at the
-   * worker, or how late this process is, if that is more. */
+   * worker, without the lag of this process. */
   base::Duration DelayBeyondLag(const RunState& run, base::Instant now) const;
   void ReleaseRun(RunState& run);
   void RequestStop(RunState& run, base::Instant at);
@@ -487,8 +504,15 @@
   void HandleAbsentRun(RunState& run, base::Instant earliest_start,
                        const PlannerTime& time);
   void FinishJob(JobState& job, JobPhase phase, const PlannerTime& time);
+  /** Returns a job that is known; null for any other. */
+  JobState* FindJob(const base::JobId& id) const;
   StepState* FindStep(const TaskName& task);
 
+  // planner_backlog.cpp
+  /** Adds the ready steps and queries of a job to the backlog. */
+  static void AddToBacklog(PlannerBacklog& backlog, const JobState& job,
+                           base::Instant now);
+
   // planner_placement.cpp
   void ScheduleReadySteps(const PlannerTime& time);
   /** Returns how long examining this number of workers may take, by the rate
@@ -569,10 +593,11 @@
   timeline::DecisionLog& log;
   QueueIndex queues;
   AllowedShareEstimator allowed_shares;
-  /** Starts without an answer, and queries for advice. */
-  ConcurrencyLimit start_limit;
-  ConcurrencyLimit advice_limit;
+  PlannerPlaces places;
   base::Duration input_lag{0};
+  StartCapacity capacity;
+  /** Starts until the latest period of work was recorded. */
+  uint64_t starts_recorded = 0;
   PlannerCounts totals;
   bool handing_over = false;
   bool superseded = false;
@@ -601,6 +626,8 @@
   /** Workers of earlier terms that have not been synced in this term. */
   std::set<base::WorkerId> unsynced_workers;
   std::map<base::JobId, std::unique_ptr<JobState>> jobs;
+  /** The same jobs, to find one by its id. */
+  absl::flat_hash_map<base::JobId, JobState*> jobs_by_id;
   /** Jobs that are not final, ordered by id. */
   std::map<base::JobId, JobState*> open;
   /** Jobs with a write of their definition that has an unknown outcome; some
@@ -615,9 +642,15 @@
   /** Workers with ends whose effect is not stored; some may have none left. */
   std::vector<WorkerState*> workers_with_unstored_ends;
   base::Instant next_worker_check;
+  /** Numbers of pending jobs, by queue, and until when they may be told. */
+  std::map<std::string, uint64_t> pending_by_queue;
+  base::Instant pending_valid_until;
+  /** Distinct sizes of the listed workers, by service; found again once one has
+   * changed. */
+  std::map<base::ServiceId, std::vector<platform::Resources>> worker_sizes;
   /** Loads summed up lately, by service. */
   std::map<base::ServiceId, ServiceLoad> loads;
-  std::map<RunKey, std::unique_ptr<RunState>> runs;
+  absl::flat_hash_map<RunKey, std::unique_ptr<RunState>> runs;
   std::set<RunKey> stopping_runs;
   std::set<RunKey> trial_runs;
   /** Tasks whose run at risk of an earlier term is not accounted for. */
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -17,10 +17,12 @@
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/platform/resources.h"
+#include "agatepass/pool/concurrency_limit.h"
 #include "agatepass/pool/crash_history.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
 #include "agatepass/pool/record_codec.h"
+#include "agatepass/pool/step_wait.h"
 #include "agatepass/pool/worker_set.h"
 
 namespace agatepass::pool {
@@ -59,11 +61,14 @@
   StepState* step = nullptr;
   platform::Resources need;
   base::Instant start_requested_at;
+  /** Lane in which its start holds a place, until the start is answered. */
+  std::optional<Lane> start_place;
   base::Instant expected_end;
   /** Whether a stop request is in flight, when the next one may be sent, and
    * when the worker confirmed one. */
   bool stop_in_flight = false;
   base::Instant next_stop;
+  base::Instant stop_requested_at;
   std::optional<base::Instant> stop_confirmed_at;
   /** Whether an earlier incarnation of the worker may answer the stop request
    * in flight. */
@@ -131,6 +136,8 @@
   bool in_flight = false;
   bool answered = false;
   base::Instant asked_at;
+  /** Lane in which the query in flight holds a place. */
+  Lane lane = Lane::kOther;
   base::Instant retry_at;
   std::map<base::WorkerId, TicketState> tickets;
   /** Time before which no further workers are asked about: the last look found
@@ -157,6 +164,8 @@
   double work = 0;
   /** Processors of the tasks that could start now, gangs excluded. */
   double startable_millicores = 0;
+  /** Tasks of steps in time that could start now. */
+  double startable_tasks = 0;
 };
 
 /** Capacity and waiting work of one service, summed up for admission. Jobs
@@ -165,6 +174,8 @@
   base::Instant valid_until;
   double usable_millicores = 0;
   double free_millicores = 0;
+  int64_t used_millicores = 0;
+  int64_t total_millicores = 0;
   /** By priority; 0 is the highest. */
   std::map<uint32_t, WaitingLoad> waiting;
 };
@@ -183,6 +194,10 @@
    * the critical path through the dependent steps. */
   base::Duration remaining_critical_path{0};
   AdviceState advice;
+  /** Since when it has been ready; nothing while it is not, or while none of
+   * its tasks waits. */
+  std::optional<base::Instant> ready_since;
+  StepWait wait;
   std::vector<TicketReservation> ticket_reservations;
   base::Instant ticket_reservations_until;
   /** Of a gang: when the next reservation may be attempted. */
@@ -232,6 +247,7 @@
 struct UnstoredEnd {
   uint64_t sequence_number = 0;
   base::JobId job;
+  base::Instant read_at;
   /** Number of the job's changes that must be stored before the worker may
    * forget the end. */
   uint64_t changes = 0;
--- a/src/agatepass/pool/tests/concurrency_limit_test.cpp
+++ b/src/agatepass/pool/tests/concurrency_limit_test.cpp
@@ -21,15 +21,15 @@
     base::Duration longest{0};
     const base::Instant end = this->now + duration;
     while (this->now < end) {
-      while (this->limit.HasRoom()) {
-        this->limit.OnSent();
+      while (this->limit.HasRoom(Lane::kOther)) {
+        this->limit.OnSent(Lane::kOther);
         this->sent_at.push_back(this->now);
       }
       this->now += service_time;
       const base::Duration delay = this->now - this->sent_at.front();
       this->sent_at.pop_front();
       longest = std::max(longest, delay);
-      this->limit.OnDone(delay, this->now);
+      this->limit.OnDone(Lane::kOther, delay, this->now);
       ++this->served;
     }
     return longest;
@@ -61,11 +61,21 @@
   base::Instant now{seconds(100)};
   for (int i = 0; i < 5000; ++i) {
     now += milliseconds(1);
-    limit.OnSent();
-    limit.OnDone(milliseconds(i % 3 == 0 ? 400 : 5), now);
+    limit.OnSent(Lane::kOther);
+    limit.OnDone(Lane::kOther, milliseconds(i % 3 == 0 ? 400 : 5), now);
   }
   EXPECT_GE(limit.limit(), ConcurrencyBounds{}.initial);
 }
 
+// Queries for urgent steps waited for gangs, whose queries take a second.
+TEST(ConcurrencyLimit, UrgentCallsNeedNoPlaceThatOthersHold) {
+  ConcurrencyLimit limit;
+  while (limit.HasRoom(Lane::kOther)) limit.OnSent(Lane::kOther);
+  size_t urgent = 0;
+  for (; limit.HasRoom(Lane::kUrgent); ++urgent) limit.OnSent(Lane::kUrgent);
+  EXPECT_EQ(static_cast<double>(urgent), limit.limit());
+  EXPECT_FALSE(limit.HasRoom(Lane::kOther));
+}
+
 }  // namespace
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/urgency.h
+++ b/src/agatepass/pool/urgency.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 
 #include "agatepass/base/time.h"
+#include "agatepass/pool/concurrency_limit.h"
 #include "agatepass/pool/pool_state.h"
 
 namespace agatepass::pool {
@@ -39,6 +40,12 @@
   return job.policy.priority == 0 ? Urgency::kUrgent : Urgency::kInTime;
 }
 
+/** Returns whose places the starts and queries of a step take at `now`. */
+inline Lane GetLane(const StepState& step, base::Instant now) {
+  return GetUrgency(step, now) == Urgency::kUrgent ? Lane::kUrgent
+                                                   : Lane::kOther;
+}
+
 }  // namespace agatepass::pool
 
 #endif  // AGATEPASS_POOL_URGENCY_H_
