Let a gang that waits for reserved workers ask about free ones

The gang reserved 17 of them, to be free in 3.4 s, renewed these tickets and reserved again, three times; a step with a reservation never asked about the 800 workers it had not asked about. Change: it asks, if the answer comes before the reserved workers' tickets have to be renewed. LargePool.AGangWithAReservationAsksAboutFreeWorkers failed on the code before (100 workers with runs, 130 expected).

--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -121,6 +121,17 @@
   this->RequestAdvice(step, std::move(workers_to_name), time);
 }
 
+bool PoolPlanner::HasTimeForQuery(const GangReservation& reservation,
+                                  base::Instant now) const {
+  const AdvicePolicy& policy = *reservation.step->job->policy.advice;
+  const size_t named =
+      this->options.max_workers_per_query + reservation.workers.size();
+  const base::Duration both_queries =
+      2 * policy.call_duration +
+      policy.duration_per_worker * static_cast<int64_t>(named);
+  return now + both_queries + kRenewalLead < reservation.until;
+}
+
 void PoolPlanner::RenewReservedTickets(const GangReservation& reservation,
                                        const PlannerTime& time) {
   StepState& step = *reservation.step;
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -137,9 +137,12 @@
   }
   if (step.waiting == 0 || waits_for_trial || !this->NeedsAdvice(step)) return;
   const auto reservation = this->gang_reservations.find(&step);
-  if (reservation != this->gang_reservations.end()) {
-    this->RenewReservedTickets(reservation->second, time);
-  } else {
+  if (reservation == this->gang_reservations.end()) {
+    this->RequestMoreAdvice(step, time);
+    return;
+  }
+  this->RenewReservedTickets(reservation->second, time);
+  if (this->HasTimeForQuery(reservation->second, time.now)) {
     this->RequestMoreAdvice(step, time);
   }
 }
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -583,6 +583,10 @@
    * expired once the resources are free, so that the gang can start then. */
   void RenewReservedTickets(const GangReservation& reservation,
                             const PlannerTime& time);
+  /** Whether further workers can be asked about before the tickets of the
+   * reserved ones have to be renewed: others may have room at once. */
+  bool HasTimeForQuery(const GangReservation& reservation,
+                       base::Instant now) const;
   /** Returns the number of waiting tasks that do not fit on the workers that
    * may run them. */
   uint32_t CountUnplacedTasks(StepState& step, const PlannerTime& time);
--- a/src/agatepass/pool/tests/large_pool_test.cpp
+++ b/src/agatepass/pool/tests/large_pool_test.cpp
@@ -126,6 +126,38 @@
   EXPECT_EQ(this->query_count, queries_until_started);
 }
 
+// A gang waited to the end of the day for workers that it had reserved, with
+// most of the others free.
+TEST_F(LargePool, AGangWithAReservationAsksAboutFreeWorkers) {
+  constexpr uint32_t kMembers = 30;
+  for (size_t i = 0; i < kWorkers; ++i) {
+    this->allowed_workers.insert(base::WorkerId(fmt::format("w{:03}", i)));
+  }
+  Queue plain = this->queues.queues[0];
+  plain.name = "plain";
+  plain.policy.advice.reset();
+  this->queues.queues.push_back(plain);
+  this->queues.version = 2;
+  this->planner.SetQueues(this->queues, this->time);
+  this->hold_advice = true;
+  Job gang = MakePoolJob("gang", kMembers, 8000, seconds(5));
+  gang.steps[0].gang = true;
+  this->planner.Submit(1, gang, this->time);
+  this->Advance(3);
+  ASSERT_EQ(this->pending_queries.size(), 1U);
+  const size_t named = this->pending_queries.front().workers.size();
+  Job filler = MakePoolJob("filler", named, 8000, milliseconds(3500));
+  filler.queue = "plain";
+  this->planner.Submit(2, filler, this->time);
+  this->Advance(12);
+  ASSERT_EQ(this->workers_with_runs.size(), named);
+  this->hold_advice = false;
+  for (const AdviceQuery& query : this->pending_queries)
+    this->AnswerAdvice(query);
+  this->Advance(60);
+  EXPECT_EQ(this->workers_with_runs.size(), named + kMembers);
+}
+
 TEST_F(LargePool, AJobCancelledWhileAdviceIsAwaitedStartsNothing) {
   this->allowed_workers.insert(base::WorkerId("w000"));
   this->hold_advice = true;
