Play planners that are slower than their load in virtual time

The stand-in charged a planner for each answer that it handles; it now tells the planner how busy that keeps it, as the loop does on a host. StartCapacity has unit tests."

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -300,6 +300,7 @@
   if (!planner.alive || !planner.believes_it_leads) return;
   planner.planner->SetInputLag(
       std::max(base::Duration(0), planner.busy_until - this->current_time));
+  this->RecordWork(planner);
   this->ConfirmLeadership(planner);
   if (!this->faults.reports_lost) {
     planner.planner->SetWorkersConfirmedAt(this->current_time);
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -162,6 +162,9 @@
     bool alive = true;
     /** When it has handled all answers that have arrived. */
     base::Instant busy_until;
+    /** When it was last told how busy it had been. */
+    base::Instant work_recorded_at;
+    base::Duration work_since_recorded{0};
     /** Whether it has not reported the loss of its leadership. A replaced
      * planner stays true until it does. */
     bool believes_it_leads = true;
@@ -182,6 +185,8 @@
   void Schedule(base::Duration delay, std::function<void()> action);
   void StartPlanner();
   void AdvancePlanner(PlannerProcess& planner);
+  /** Tells the planner how busy it was, each kWorkPeriod. */
+  void RecordWork(PlannerProcess& planner);
   /** Reads the planner's key and asks the other hosts when due, and tells the
    * planner what its host knows. A superseded planner is not told so: its
    * evidence only gets no newer. */
--- a/fakes/pool_cell_links.cpp
+++ b/fakes/pool_cell_links.cpp
@@ -1,5 +1,7 @@
 // What each planner of the simulated pool reaches: workers, the store and the
 // other hosts.
+#include <algorithm>
+
 #include "fakes/pool_cell.h"
 
 namespace agatepass::fakes {
@@ -8,6 +10,9 @@
 
 constexpr base::Duration kRoundTrip = std::chrono::milliseconds(10);
 
+/** Period at which a planner learns how busy it was. */
+constexpr base::Duration kWorkPeriod = std::chrono::milliseconds(250);
+
 /** Addresses of the hosts other than the planner's. */
 std::vector<base::Endpoint> OtherHosts() {
   return {{"10.0.1.1", 1}, {"10.0.1.2", 1}};
@@ -68,9 +73,19 @@
   }
   planner.busy_until = std::max(planner.busy_until, this->current_time) +
                        this->faults.answer_handling_time;
+  planner.work_since_recorded += this->faults.answer_handling_time;
   this->Schedule(planner.busy_until - this->current_time, handle_if_alive);
 }
 
+void PoolCell::RecordWork(PlannerProcess& planner) {
+  const base::Duration period = this->current_time - planner.work_recorded_at;
+  if (period < kWorkPeriod) return;
+  const base::Duration busy = std::min(period, planner.work_since_recorded);
+  planner.planner->RecordWork(busy, period);
+  planner.work_since_recorded -= busy;
+  planner.work_recorded_at = this->current_time;
+}
+
 void PoolCell::ExecuteAdvice(PlannerProcess& planner,
                              const pool::AdviceQuery& query) {
   this->Schedule(query.expected_duration, [this, &planner, query] {
--- /dev/null
+++ b/src/agatepass/pool/tests/start_capacity_test.cpp
@@ -0,0 +1,82 @@
+// How many starts a planner can carry, and who is rejected beyond.
+#include "agatepass/pool/start_capacity.h"
+
+#include <cmath>
+
+#include "agatepass/pool/admission.h"
+#include "fakes/pool_cell.h"
+#include "gtest/gtest.h"
+
+namespace agatepass::pool {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::Duration kPeriod = milliseconds(250);
+const base::Instant kNow{seconds(100)};
+
+TEST(StartCapacity, IsUnknownWhileThePlannerIsMostlyIdle) {
+  StartCapacity capacity;
+  capacity.OnPeriod(100, milliseconds(50), kPeriod);
+  EXPECT_TRUE(std::isinf(capacity.starts_per_second()));
+  EXPECT_TRUE(std::isinf(capacity.RateFor(0, kNow)));
+}
+
+// Loading the jobs of earlier terms keeps a planner busy and starts nothing.
+TEST(StartCapacity, APeriodWithoutStartsSaysNothing) {
+  StartCapacity capacity;
+  capacity.OnPeriod(2, kPeriod, kPeriod);
+  EXPECT_TRUE(std::isinf(capacity.starts_per_second()));
+}
+
+TEST(StartCapacity, FollowsWhatAStartCosts) {
+  StartCapacity capacity;
+  for (int i = 0; i < 40; ++i) capacity.OnPeriod(250, kPeriod, kPeriod);
+  EXPECT_NEAR(capacity.starts_per_second(), 1000, 1);
+  for (int i = 0; i < 40; ++i) capacity.OnPeriod(125, kPeriod, kPeriod);
+  EXPECT_NEAR(capacity.starts_per_second(), 500, 1);
+}
+
+TEST(StartCapacity, HigherPrioritiesComeFirst) {
+  StartCapacity capacity;
+  for (int i = 0; i < 40; ++i) capacity.OnPeriod(250, kPeriod, kPeriod);
+  base::Instant now = kNow;
+  for (int i = 0; i < 1000; ++i) {
+    now += milliseconds(10);
+    capacity.OnAccepted(1, 5, now);
+  }
+  EXPECT_NEAR(capacity.RateFor(0, now), 900, 5);
+  EXPECT_NEAR(capacity.RateFor(1, now), 900, 5);
+  EXPECT_NEAR(capacity.RateFor(2, now), 400, 10);
+  EXPECT_NEAR(capacity.RateFor(2, now + seconds(20)), 900, 5);
+}
+
+const QueuePolicy kPolicy{.stretch = 3, .slack = seconds(2)};
+
+// Its objective leaves 2 + (3 - 1.3) * 4 s, of which eight tenths may be
+// waited.
+Job MakeJob() { return fakes::MakePoolJob("a", 10, 1000, seconds(4)); }
+
+TEST(StartCapacity, AJobThatCannotStartInTimeIsRejectedThoughThereIsRoom) {
+  PoolLoad load{.usable_millicores = 1e6,
+                .free_millicores = 1e6,
+                .starts_ahead = 590,
+                .starts_per_second = 100};
+  EXPECT_EQ(FindAdmissionRetryDelay(load, MakeJob(), kPolicy), std::nullopt);
+  load.starts_ahead = 1290;
+  const auto delay = FindAdmissionRetryDelay(load, MakeJob(), kPolicy);
+  ASSERT_TRUE(delay);
+  EXPECT_GT(*delay, seconds(5)) << "the time in which enough of them start";
+  EXPECT_LT(*delay, seconds(7));
+}
+
+TEST(StartCapacity, AJobLargerThanWhatCanStartInTimeIsAcceptedAlone) {
+  const PoolLoad load{.usable_millicores = 1e6,
+                      .free_millicores = 1e6,
+                      .starts_per_second = 0.1};
+  EXPECT_EQ(FindAdmissionRetryDelay(load, MakeJob(), kPolicy), std::nullopt);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
