Let a planner that waits forget what starts cost it while it was busy otherwise

A lower cost counts for half at once, since all else is counted as the cost of starts too; a planner that mostly waits forgets a fifth of the cost each quarter of a second. StartCapacity.ForgetsTheCostOfATakeoverSoon is new with it and was not run on the code before.

--- a/src/agatepass/pool/start_capacity.h
+++ b/src/agatepass/pool/start_capacity.h
@@ -27,16 +27,21 @@
  */
 class StartCapacity {
  public:
-  /** Records what was done in a period. One with few starts, or in which the
-   * planner was mostly idle, says nothing of what a start costs.
+  /** Records what was done in a period. One with few starts says nothing of
+   * what a start costs; a planner that waits can carry more than it does.
    * \param busy part of the period in which the planner was not waiting. */
   void OnPeriod(uint64_t starts, base::Duration busy, base::Duration period) {
-    if (starts < kMinStarts || busy < kMinBusyShare * period) return;
+    if (busy < kMinBusyShare * period) {
+      this->start_cost_s *= kIdleRemainder;
+      return;
+    }
+    if (starts < kMinStarts) return;
     const double cost_s = base::ToSeconds(busy) / static_cast<double>(starts);
-    this->start_cost_s =
-        this->start_cost_s == 0
-            ? cost_s
-            : this->start_cost_s + kWeight * (cost_s - this->start_cost_s);
+    if (this->start_cost_s == 0) this->start_cost_s = cost_s;
+    // All else that the planner did is counted too: a start costs less at most.
+    const double weight =
+        cost_s < this->start_cost_s ? kWeightOfLess : kWeightOfMore;
+    this->start_cost_s += weight * (cost_s - this->start_cost_s);
   }
 
   /** Records the tasks of a job that was accepted. */
@@ -68,8 +73,11 @@
  private:
   static constexpr uint64_t kMinStarts = 20;
   static constexpr double kMinBusyShare = 0.6;
-  /** Weight of the latest period. */
-  static constexpr double kWeight = 0.2;
+  /** Weight of the latest period if a start cost less or more in it. */
+  static constexpr double kWeightOfLess = 0.5;
+  static constexpr double kWeightOfMore = 0.2;
+  /** Part of the known cost that is left after a period of mostly waiting. */
+  static constexpr double kIdleRemainder = 0.8;
   /** Part of the capacity that is counted on, so that a backlog goes. */
   static constexpr double kUsableShare = 0.9;
   static constexpr double kMinRemainder = 0.1;
--- a/src/agatepass/pool/tests/start_capacity_test.cpp
+++ b/src/agatepass/pool/tests/start_capacity_test.cpp
@@ -38,6 +38,21 @@
   EXPECT_NEAR(capacity.starts_per_second(), 500, 1);
 }
 
+// A successor syncs a thousand workers beside its first starts, and rejected
+// jobs by what these seemed to cost for as long as it had little to do.
+TEST(StartCapacity, ForgetsTheCostOfATakeoverSoon) {
+  StartCapacity capacity;
+  capacity.OnPeriod(50, kPeriod, kPeriod);
+  EXPECT_NEAR(capacity.starts_per_second(), 200, 1);
+  for (int i = 0; i < 4; ++i) capacity.OnPeriod(400, kPeriod, kPeriod);
+  EXPECT_GT(capacity.starts_per_second(), 1000);
+  capacity.OnPeriod(25, kPeriod, kPeriod);
+  for (int i = 0; i < 12; ++i) {
+    capacity.OnPeriod(10, milliseconds(60), kPeriod);
+  }
+  EXPECT_GT(capacity.starts_per_second(), 5000);
+}
+
 TEST(StartCapacity, HigherPrioritiesComeFirst) {
   StartCapacity capacity;
   for (int i = 0; i < 40; ++i) capacity.OnPeriod(250, kPeriod, kPeriod);
