Take no wait of our own for a silent worker, and reject no job for its own width

Syncs, stops and urgent starts wait for no connection: they get one more. - A request whose time was over before its first byte could go out was sent all the same, and counted as "may have been carried out" (HttpConnectionPool.NothingIsSentAfterItsTimeIsOver). - Before an answer counts as late all that has arrived is read, not the first 64 KiB. - Admission: a wide job was rejected by its own tasks on each retry, a job whose objective leaves no spare time behind any ready task; tasks that wait for resources counted as work of the planner; a timed job counted at once with all its occurrences. A cost that no starts confirm is forgotten (StartCapacity: 3 tests). 32 starts that are not urgent may always be in flight, 8 before. - The log names the workers of earlier terms that are not synced. The tests are new with the mechanism and were not run on the code before.

--- a/src/agatepass/base/http_client.cpp
+++ b/src/agatepass/base/http_client.cpp
@@ -81,15 +81,17 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::Send(const Endpoint& endpoint, const HttpRequest& request,
-                      Duration timeout, Callback callback, TimeLimit limit) {
+                      Duration timeout, Callback callback, TimeLimit limit,
+                      WhenBusy when_busy) {
   const WorkScope scope(this->loop.work(), WorkKind::kSending);
   std::unique_ptr<Pool>& pool = this->pools[endpoint];
   if (!pool) pool = std::make_unique<Pool>();
-  Request rendered{.bytes = RenderRequest(endpoint, request),
-                   .callback = std::move(callback),
-                   .deadline = this->loop.Now() + timeout,
-                   .limit = limit};
-  if (pool->idle.empty() &&
+  Request rendered{
+      .bytes = RenderRequest(endpoint, request),
+      .callback = callback ? std::move(callback) : [](const HttpOutcome&) {},
+      .deadline = this->loop.Now() + timeout,
+      .limit = limit};
+  if (when_busy == WhenBusy::kWait && pool->idle.empty() &&
       pool->active >= this->limits.connections_per_address) {
     this->Wait(*pool, std::move(rendered));
   } else {
@@ -130,6 +132,7 @@
         pool.waiting.erase(position);
         --this->waiting_count;
         callback({.delivery = Delivery::kNotSent,
+                  .at_own_limit = true,
                   .fault = "timeout before a connection was free"});
       });
 }
@@ -156,7 +159,16 @@
     --this->waiting_count;
     this->SendNow(endpoint, pool, std::move(request));
   }
-  if (pool.active == 0 && pool.idle.empty()) this->pools.erase(found);
+  this->EraseIfUnused(endpoint);
+}
+
+void HttpClient::EraseIfUnused(const Endpoint& endpoint) {
+  const auto found = this->pools.find(endpoint);
+  if (found == this->pools.end()) return;
+  const Pool& pool = *found->second;
+  if (pool.active == 0 && pool.idle.empty() && pool.waiting.empty()) {
+    this->pools.erase(found);
+  }
 }
 
 HttpClient::Connection* HttpClient::TakeIdle(Pool& pool) {
@@ -182,8 +194,10 @@
 }
 
 void HttpClient::OnIdleConnectionEnded(Connection* connection) {
+  const Endpoint endpoint = connection->endpoint();
   this->RemoveFromIdle(connection);
   this->open.erase(connection);
+  this->EraseIfUnused(endpoint);
 }
 
 void HttpClient::CloseIdle(Pool& pool) {
@@ -209,7 +223,7 @@
     this->open.erase(connection);
   }
   this->SendWaiting(endpoint);
-  if (callback) callback(std::move(outcome));
+  callback(std::move(outcome));
 }
 
 }  // namespace agatepass::base
--- a/src/agatepass/base/http_client.h
+++ b/src/agatepass/base/http_client.h
@@ -45,6 +45,15 @@
   kSilence,
 };
 
+/** What becomes of a request while all connections allowed to its address are
+ * in use. */
+enum class WhenBusy : uint8_t {
+  /** It waits for one of them. */
+  kWait,
+  /** It gets a connection beyond that limit: it must not wait for others. */
+  kConnect,
+};
+
 /** Sends requests over pooled connections, one request at a time on each.
  *
  * A connection whose request got no whole answer is closed and never used
@@ -67,10 +76,12 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /** Sends `request`; `callback` runs once, from the loop, within `timeout`.
-   * \param limit what `timeout` bounds. */
+   * \param limit what `timeout` bounds.
+   * \param when_busy what to do while all connections are in use. */
   void Send(const Endpoint& endpoint, const HttpRequest& request,
             Duration timeout, Callback callback,
-            TimeLimit limit = TimeLimit::kAnswer);
+            TimeLimit limit = TimeLimit::kAnswer,
+            WhenBusy when_busy = WhenBusy::kWait);
 
   /** Time that a whole answer may take, in timeouts, with TimeLimit::kSilence.
    */
@@ -140,6 +151,7 @@
   bool CloseOldestIdle();
   void RemoveFromIdle(Connection* connection);
   void CloseIdle(Pool& pool);
+  void EraseIfUnused(const Endpoint& endpoint);
   /** Handles the end of the request on a connection. */
   void Finish(Connection* connection, HttpOutcome outcome);
   /** Handles the end of a connection that no request uses. */
--- a/src/agatepass/base/http_client_connection.cpp
+++ b/src/agatepass/base/http_client_connection.cpp
@@ -64,7 +64,9 @@
   this->answer_until = now + kMaxSilences * timeout;
   this->deadline = request.deadline;
   this->FireBy(this->deadline);
-  if (this->is_connected) {
+  if (now >= request.deadline) {
+    this->EndLater("timeout", 0);
+  } else if (this->is_connected) {
     if (!this->Write()) this->EndLater("read or write error", 0);
   } else if (const int error = this->Connect(); error != 0) {
     this->EndLater(kConnectFault, error);
@@ -73,6 +75,7 @@
 
 void HttpClient::Connection::Reject(Request request, std::string_view reason) {
   this->callback = std::move(request.callback);
+  this->was_rejected = true;
   this->EndLater(reason, 0);
 }
 
@@ -128,6 +131,11 @@
     this->EndWithFault(kConnectFault);
     return;
   }
+  if (this->client.loop.Now() >= this->deadline) {
+    // It would be carried out, and its answer come too late.
+    this->EndWithFault("timeout");
+    return;
+  }
   this->is_connected = true;
   event_add(&this->read_event, nullptr);
   if (!this->Write()) this->EndWithFault("read or write error");
@@ -203,6 +211,15 @@
   return false;
 }
 
+bool HttpClient::Connection::ReadAll() {
+  size_t before = 0;
+  do {
+    before = this->bytes_read;
+    if (this->Read()) return true;
+  } while (this->bytes_read > before);
+  return false;
+}
+
 void HttpClient::Connection::OnAnswer() {
   // What is left of the request would be taken for the next one.
   this->is_broken = !this->parser.MayReuseConnection() ||
@@ -220,6 +237,7 @@
   HttpOutcome outcome{
       .delivery = not_sent ? Delivery::kNotSent : Delivery::kUnknown,
       .refused = failed_to_connect && !at_own_limit,
+      .at_own_limit = not_sent && (at_own_limit || this->was_rejected),
       .fault = std::string(reason),
       .bytes_of_answer = this->bytes_read};
   if (failed_to_connect && at_own_limit) {
@@ -267,7 +285,7 @@
     return;
   }
   // The answer may have arrived and wait for this loop.
-  if (connection->is_connected && connection->Read()) return;
+  if (connection->is_connected && connection->ReadAll()) return;
   if (connection->client.loop.Now() < connection->deadline) return;
   connection->EndWithFault("timeout");
 }
--- a/src/agatepass/base/http_client_connection.h
+++ b/src/agatepass/base/http_client_connection.h
@@ -67,6 +67,9 @@
   /** Reads once.
    * \return whether the request has ended, or the connection while idle. */
   bool Read();
+  /** Reads all that has arrived.
+   * \return whether the request has ended. */
+  bool ReadAll();
   void OnAnswer();
   void EndWithFault(std::string_view reason);
   void End(HttpOutcome outcome);
@@ -99,6 +102,7 @@
   std::string pending_fault;
   int pending_error = 0;
   bool ends_with_timer = false;
+  bool was_rejected = false;
   bool is_connected = false;
   bool is_broken = false;
 };
--- a/src/agatepass/base/http_message.h
+++ b/src/agatepass/base/http_message.h
@@ -85,6 +85,9 @@
   HttpAnswer answer;
   /** Whether nobody listens at the address; the request was not sent then. */
   bool refused = false;
+  /** Whether a limit of this client kept the request from being sent: the
+   * server was not asked. */
+  bool at_own_limit = false;
   /** Why there is no answer, for logs. */
   std::string fault;
   /** Without an answer: bytes of it that had arrived. */
--- a/src/agatepass/base/tests/http_connection_pool_test.cpp
+++ b/src/agatepass/base/tests/http_connection_pool_test.cpp
@@ -72,10 +72,64 @@
   this->loop.Run();
   EXPECT_EQ(outcome->delivery, Delivery::kNotSent);
   EXPECT_FALSE(outcome->refused);
+  EXPECT_TRUE(outcome->at_own_limit) << "the server was not asked";
   EXPECT_EQ(requests, 2);
   EXPECT_EQ(this->client.waiting(), 0U);
 }
 
+// Lease renewals and urgent starts wait behind no other call.
+TEST_F(HttpConnectionPool, ARequestThatMustNotWaitGetsAConnection) {
+  std::vector<HttpResponder> held;
+  HttpServer server(
+      this->loop, {},
+      [&](const HttpRequest& request, const HttpResponder& responder) {
+        if (request.path == "/held") {
+          held.push_back(responder);
+        } else {
+          responder.Respond({.status = 200});
+        }
+      });
+  ASSERT_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  for (int i = 0; i < 5; ++i) {
+    this->client.Send(server.endpoint(), {.path = "/held"}, seconds(5),
+                      [](const HttpOutcome&) {});
+  }
+  std::optional<HttpOutcome> outcome;
+  this->client.Send(
+      server.endpoint(), {.path = "/renew"}, seconds(5),
+      [&](HttpOutcome ended) {
+        outcome = std::move(ended);
+        this->loop.Stop();
+      },
+      TimeLimit::kAnswer, WhenBusy::kConnect);
+  this->loop.Run();
+  EXPECT_EQ(outcome->answer.status, 200);
+  EXPECT_EQ(this->client.waiting(), 3U);
+}
+
+// It would be carried out, and its answer come too late.
+TEST_F(HttpConnectionPool, NothingIsSentAfterItsTimeIsOver) {
+  int requests = 0;
+  HttpServer server(this->loop, {},
+                    [&](const HttpRequest&, const HttpResponder& responder) {
+                      ++requests;
+                      responder.Respond({.status = 200});
+                    });
+  ASSERT_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  std::optional<HttpOutcome> outcome;
+  this->client.Send(server.endpoint(), {.path = "/"}, milliseconds(1),
+                    [&](HttpOutcome ended) { outcome = std::move(ended); });
+  // The kernel makes the connection while this loop handles nothing.
+  const Instant over = this->loop.Now() + milliseconds(20);
+  while (this->loop.Now() < over) std::this_thread::yield();
+  const auto stop =
+      this->loop.After(milliseconds(20), [this] { this->loop.Stop(); });
+  this->loop.Run();
+  ASSERT_TRUE(outcome.has_value());
+  EXPECT_EQ(outcome->delivery, Delivery::kNotSent);
+  EXPECT_EQ(requests, 0);
+}
+
 TEST_F(HttpConnectionPool, WhatWaitsIsSentAfterAConnectionHasFailed) {
   std::vector<HttpResponder> held;
   HttpServer server(
--- a/src/agatepass/pool/admission.cpp
+++ b/src/agatepass/pool/admission.cpp
@@ -14,6 +14,10 @@
  * the workers, and free capacity is fragmented. */
 constexpr double kUsableFreeShare = 0.4;
 
+/** Wait for the planner, in seconds, that a job is always allowed: its queue
+ * may leave it no spare time at all. */
+constexpr double kMinAllowedStartWaitS = 0.1;
+
 /** Share of the spare time within the objective that waiting may use up. */
 constexpr double kMaxWaitShareOfSpareTime = 0.8;
 
@@ -33,15 +37,6 @@
          kUsableFreeShare * load.free_millicores;
 }
 
-/** Returns the number of tasks that depend on no other step. */
-double CountFirstTasks(const Job& job) {
-  double tasks = 0;
-  for (const Step& step : job.steps) {
-    if (step.depends_on.empty()) tasks += step.count;
-  }
-  return tasks;
-}
-
 /** Returns when a retry may succeed: once the wait is shorter by this much. */
 base::Duration RetryDelay(double excess_wait_s) {
   return std::chrono::duration_cast<base::Duration>(
@@ -63,12 +58,13 @@
   const double spare_s =
       std::max(0.0, objective_s - kRunTimeFactor * critical_path_s - query_s);
   const double allowed_wait_s = kMaxWaitShareOfSpareTime * spare_s;
-  // No free capacity helps against a planner that has too much to start; a job
-  // with more tasks than it can start in time is accepted while none wait.
-  const double start_wait_s =
-      (load.starts_ahead + CountFirstTasks(job)) / load.starts_per_second;
-  if (start_wait_s > allowed_wait_s && load.starts_ahead > 0) {
-    return RetryDelay(start_wait_s - allowed_wait_s);
+  // No free capacity helps against a planner that has too much to start. The
+  // job's own tasks do not count: a retry would find as many.
+  const double start_wait_s = load.starts_ahead / load.starts_per_second;
+  const double allowed_start_wait_s =
+      std::max(allowed_wait_s, kMinAllowedStartWaitS);
+  if (job.occurrences == 0 && start_wait_s > allowed_start_wait_s) {
+    return RetryDelay(start_wait_s - allowed_start_wait_s);
   }
   const double work =
       load.higher_priority_work + load.same_priority_work + EstimatedWork(job);
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -110,6 +110,9 @@
   kMalformed,
   /** The request never left this host. */
   kNotSent,
+  /** A limit of this planner kept the call from being sent: the worker was not
+   * asked, which says nothing of it. */
+  kNotTried,
   /** No answer: the request may have been carried out, or may still be. */
   kUnknown,
 };
@@ -164,6 +167,8 @@
   std::string payload;
   std::string checkpoint;
   std::string ticket;
+  /** Whether it is for urgent work, and must not wait for other calls. */
+  bool is_urgent = false;
   /** End of the lease on all runs of the worker, in milliseconds on the
    * worker's clock. */
   int64_t lease_until_ms = 0;
--- a/src/agatepass/pool/planner_backlog.cpp
+++ b/src/agatepass/pool/planner_backlog.cpp
@@ -39,6 +39,8 @@
       backlog.stops.Add(now - run->stop_requested_at);
     }
   }
+  backlog.unsynced_workers = {this->unsynced_workers.size(),
+                              now - this->term_started_at};
   for (const auto& [id, commit] : this->commits) {
     backlog.commits.Add(now - commit.sent_at);
   }
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -11,7 +11,7 @@
 /** Time for which a count of pending jobs is told again. */
 constexpr base::Duration kPendingCountPeriod = std::chrono::milliseconds(50);
 
-/** Returns the number of tasks of one occurrence of a job. */
+/** Returns the number of tasks of a job without occurrences. */
 double CountTasks(const Job& job) {
   double tasks = 0;
   for (const Step& step : job.steps) tasks += step.count;
@@ -83,8 +83,10 @@
   job.policy = queue->policy;
   JobState& state = this->AddJob(std::move(job), time);
   this->AddToLoad(state, time.now);
-  this->capacity.OnAccepted(state.policy.priority, CountTasks(state.job),
-                            time.now);
+  if (state.job.occurrences == 0) {
+    this->capacity.OnAccepted(state.policy.priority, CountTasks(state.job),
+                              time.now);
+  }
   state.waiting_submits.push_back(call);
   this->QueueWrite(state);
   this->scheduling_needed = true;
--- a/src/agatepass/pool/planner_counts.h
+++ b/src/agatepass/pool/planner_counts.h
@@ -65,6 +65,8 @@
   QueueAge unconfirmed_starts;
   /** Runs that were told to stop and have not ended. */
   QueueAge stops;
+  /** Workers of earlier terms that are not synced, since the term began. */
+  QueueAge unsynced_workers;
   /** Accepted jobs that are not stored yet, and commits without an answer. */
   QueueAge unstored_jobs;
   QueueAge commits;
--- a/src/agatepass/pool/planner_load.cpp
+++ b/src/agatepass/pool/planner_load.cpp
@@ -128,6 +128,8 @@
                                         base::Instant now) const {
   double tasks = 0;
   for (const auto& step : job.steps) {
+    // What waits for resources needs no more of the planner for now.
+    if (step->wait.reason == WaitReason::kResources) continue;
     if (this->IsReady(*step, {now, 0})) tasks += step->waiting;
   }
   return tasks;
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -311,6 +311,7 @@
                    .payload = job.job.payload,
                    .checkpoint = step.tasks[index].checkpoint,
                    .ticket = this->FindTicket(step, worker),
+                   .is_urgent = run.start_place == Lane::kUrgent,
                    .lease_until_ms = lease_until_ms.value_or(0)});
 }
 
--- a/src/agatepass/pool/planner_places.h
+++ b/src/agatepass/pool/planner_places.h
@@ -71,12 +71,18 @@
   double other_query_limit() const { return this->other_queries.limit(); }
 
  private:
+  /** Starts that are not urgent and may always be in flight: few enough that
+   * their answers keep this process busy for less than kMaxLag. */
+  static constexpr double kMinOtherStarts = 32;
+
   /** Queries that may always be in flight: they mostly wait for the service,
    * for a second and more, and cost this process little. */
   static constexpr double kMinQueries = 64;
 
   ConcurrencyLimit starts;
-  ConcurrencyLimit other_starts{{.max_delay = kMaxLag}};
+  ConcurrencyLimit other_starts{{.min = kMinOtherStarts,
+                                 .initial = kMinOtherStarts,
+                                 .max_delay = kMaxLag}};
   ConcurrencyLimit other_queries{
       {.min = kMinQueries, .initial = kMinQueries, .max_delay = kMaxLag}};
 };
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -307,6 +307,8 @@
     case WorkerCallResult::kNotSent:
       this->RecordUnansweredCall(worker, time);
       break;
+    case WorkerCallResult::kNotTried:
+      break;
     default:
       worker.quarantined_until = time.now + this->options.quarantine_time;
       break;
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -88,7 +88,7 @@
   if (result == WorkerCallResult::kOtherIncarnation &&
       !worker.MayConcernFormerIncarnation(request.sent_at)) {
     this->EndIncarnation(worker, time);
-  } else {
+  } else if (result != WorkerCallResult::kNotTried) {
     this->RecordUnansweredCall(worker, time);
   }
   worker.next_sync = time.now + this->options.sync_retry_delay;
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -59,6 +59,8 @@
       return "malformed";
     case WorkerCallResult::kNotSent:
       return "not sent";
+    case WorkerCallResult::kNotTried:
+      return "not tried";
     case WorkerCallResult::kUnknown:
       return "unknown";
   }
--- a/src/agatepass/pool/start_capacity.h
+++ b/src/agatepass/pool/start_capacity.h
@@ -27,15 +27,15 @@
  */
 class StartCapacity {
  public:
-  /** Records what was done in a period. One with few starts says nothing of
-   * what a start costs; a planner that waits can carry more than it does.
+  /** Records what was done in a period. In one with few starts most of the time
+   * went elsewhere, and a planner that waits can carry more than it does: what
+   * was known is forgotten little by little.
    * \param busy part of the period in which the planner was not waiting. */
   void OnPeriod(uint64_t starts, base::Duration busy, base::Duration period) {
-    if (busy < kMinBusyShare * period) {
+    if (busy < kMinBusyShare * period || starts < kMinStarts) {
       this->start_cost_s *= kIdleRemainder;
       return;
     }
-    if (starts < kMinStarts) return;
     const double cost_s = base::ToSeconds(busy) / static_cast<double>(starts);
     if (this->start_cost_s == 0) this->start_cost_s = cost_s;
     // All else that the planner did is counted too: a start costs less at most.
@@ -76,7 +76,7 @@
   /** Weight of the latest period if a start cost less or more in it. */
   static constexpr double kWeightOfLess = 0.5;
   static constexpr double kWeightOfMore = 0.2;
-  /** Part of the known cost that is left after a period of mostly waiting. */
+  /** Part of the known cost that is left after a period that tells none. */
   static constexpr double kIdleRemainder = 0.8;
   /** Part of the capacity that is counted on, so that a backlog goes. */
   static constexpr double kUsableShare = 0.9;
--- a/src/agatepass/pool/tests/late_planner_test.cpp
+++ b/src/agatepass/pool/tests/late_planner_test.cpp
@@ -47,6 +47,27 @@
   EXPECT_EQ(this->planner.counts().stalled_runs_stopped, 0U);
 }
 
+// A start that found no free connection in time put its worker into quarantine,
+// as if it were silent.
+TEST_F(LatePlanner, BlamesNoWorkerForACallThatItDidNotMake) {
+  constexpr int64_t kStartedAtMs = 5'000;
+  this->Load();
+  this->ListWorker("w0", kStartedAtMs);
+  this->RunFor(milliseconds(20));
+  this->AnswerSync(this->TakeSync("w0"), kStartedAtMs);
+  this->RunFor(milliseconds(100));
+  this->Submit(fakes::MakePoolJob("a", 1, 100, seconds(1)));
+  this->RunFor(milliseconds(100));
+  ASSERT_EQ(this->starts.size(), 1U);
+  const StartRequest start = this->starts.front();
+  this->starts.clear();
+  this->planner.OnStart(start.task, start.run,
+                        {.result = WorkerCallResult::kNotTried}, this->time);
+  this->RunFor(milliseconds(100));
+  ASSERT_EQ(this->starts.size(), 1U);
+  EXPECT_EQ(this->starts.front().run, start.run + 1);
+}
+
 // A job that nothing hindered but the limit of starts waited to the end.
 TEST_F(LatePlanner, StartsOldWorkThoughUrgentWorkUsesUpTheLimitOfStarts) {
   constexpr int kWorkers = 50;
--- a/src/agatepass/pool/tests/start_capacity_test.cpp
+++ b/src/agatepass/pool/tests/start_capacity_test.cpp
@@ -93,5 +93,35 @@
   EXPECT_EQ(FindAdmissionRetryDelay(load, MakeJob(), kPolicy), std::nullopt);
 }
 
+// It would be rejected by its own width on each retry.
+TEST(StartCapacity, AWideJobIsAcceptedBehindLittle) {
+  const PoolLoad load{.usable_millicores = 1e6,
+                      .free_millicores = 1e6,
+                      .starts_ahead = 10,
+                      .starts_per_second = 100};
+  const Job wide = fakes::MakePoolJob("wide", 2000, 100, seconds(4));
+  EXPECT_EQ(FindAdmissionRetryDelay(load, wide, kPolicy), std::nullopt);
+}
+
+TEST(StartCapacity, AJobWithoutSpareTimeIsAcceptedBehindLittle) {
+  const PoolLoad load{.usable_millicores = 1e6,
+                      .free_millicores = 1e6,
+                      .starts_ahead = 10,
+                      .starts_per_second = 1000};
+  EXPECT_EQ(FindAdmissionRetryDelay(load, MakeJob(), {.stretch = 1}),
+            std::nullopt);
+}
+
+// Calls and rejections may use up the planner's time and leave few starts.
+TEST(StartCapacity, ForgetsACostThatNoStartsConfirm) {
+  StartCapacity capacity;
+  capacity.OnPeriod(20, kPeriod, kPeriod);
+  EXPECT_NEAR(capacity.starts_per_second(), 80, 1);
+  for (int i = 0; i < 20; ++i) {
+    capacity.OnPeriod(5, milliseconds(200), kPeriod);
+  }
+  EXPECT_GT(capacity.starts_per_second(), 5000);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
