--- a/src/agatepass/base/event_loop.h
+++ b/src/agatepass/base/event_loop.h
@@ -29,8 +29,8 @@
 enum class EventPriority : uint8_t {
   /** Few and short, and late ones do harm: leases, health checks of peers. */
   kControl,
-  /** Opening and accepting connections, and the first request on each. libevent
-   * gives all of these the middle priority. */
+  /** Accepting connections, and the first request on each. libevent gives all
+   * of these the middle priority. */
   kConnection,
   /** All others. */
   kBulk,
