Show jobs that fail because their workers were down

A start that is sent to a worker which is down counts as a crash under its task; the second one makes the job fail. Events: workers go dark, starts go there before the silence is noticed, the next start of such a task goes to an idle worker that is dark too.

--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -280,6 +280,7 @@
         self.sequence = 0
 
     async def start(self, register=True):
+        self.server.stop()
         self.born = int(time.time() * 1000)
         self.began = time.monotonic()
         self.fence = 0
@@ -294,11 +295,14 @@
         self.record.add("worker up", worker=self.name, born=self.born, cpu=self.cpu)
         self.beat_task = asyncio.ensure_future(self.beat(register))
 
-    def crash(self):
-        self.record.add("worker crashed", worker=self.name, lost=[f"{t}#{r['run']}" for t, r in self.runs.items()])
+    def crash(self, dark=False):
+        """Ends the worker and all that it runs. If dark, it doesn't even refuse connections or end open ones."""
+        lost = [f"{task}#{run['run']}" for task, run in self.runs.items()]
+        self.record.add("worker crashed", worker=self.name, dark=dark, lost=lost)
         self.up = False
         self.beat_task.cancel()
-        self.server.stop()
+        if not dark:
+            self.server.stop()
         for run in self.runs.values():
             run["timer"].cancel()
         self.runs = {}
@@ -357,6 +361,19 @@
         return status, {"clockMs": self.clock_ms(), "born": self.born, **fields}
 
     async def handle(self, _method, path, _query, headers, body):
+        born = self.born
+        status, answer = await self.carry_out(path, headers, body)
+        while not self.up:
+            # Dark: the connection stays silent until the next life resets it.
+            await asyncio.sleep(0.05)
+        if self.born != born:
+            raise NoAnswer
+        return status, answer
+
+    async def carry_out(self, path, headers, body):
+        if not self.up:
+            self.record.add("call not heard", worker=self.name, path=path, task=body.get("task"))
+            return 0, {}
         if headers.get("expect-instance", self.name) != self.name:
             return self.answer(421)
         self.lapse()
@@ -424,7 +441,7 @@
             born = self.born
             await wait_for_event(self.changed, wait_ms / 1000)
             if not self.up or self.born != born:
-                raise NoAnswer
+                return 0, {}
             self.lapse()
         running = []
         for task, run in self.runs.items():
