--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -275,7 +275,6 @@
         self.reject_starts = False
         self.draining = False
         self.on_start = None
-        self.cpu_of_step = []
         self.beat_task = None
         self.sequence = 0
 
@@ -410,7 +409,6 @@
             "run": number,
             "began": time.monotonic(),
             "work_s": work_s,
-            "cpu": self.cpu_of_step[int(task.split(".")[2])] if self.cpu_of_step else 0,
             "most": 100 if lasts else 99,
             "timer": loop.call_later(3600 if lasts else work_s, self.end_if_running, task, number),
         }
