--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A task is started on a worker that lacks the label it requires: see claim.txt."""
+"""A job that runs each minute for a year ends the process that plans: see claim.txt."""
 
 import asyncio
 import sys
@@ -7,56 +7,59 @@
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from standin.cell import CannotRun, job_id, route, run_case  # noqa: E402
+from standin.cell import SETTINGS, CannotRun, job_id, route, run_case  # noqa: E402
 
-WORKERS = 14
-STORE_DOWN_S = 4.5
-CRASH_AT_S = 0.2
-WORKER_DOWN_S = 0.5
-FIRST_STEP_MS = 3000
+MINUTE_MS = 60 * 1000
+MINUTES_A_YEAR = 365 * 24 * 60
+CALLERS = 3
+# One try and four retries, as the sheet's clients do.
+TRIES = 5
+MEMORY_KB = SETTINGS["limits"]["memoryMb"] * 1024
 
 
-async def case(cell, trouble):
-    for number in range(WORKERS):
-        cell.add_worker(labels=("b" if number == 0 else "a", f"r1-{number // 8}"))
-    special = cell.workers[0]
-    wrong = []
+async def watch_memory(cell):
+    """Ends processes over their memory, as the platform does."""
+    while True:
+        for host in cell.hosts:
+            used = host.memory_kb()
+            host.peak_kb = max(host.peak_kb, used)
+            if used > MEMORY_KB:
+                cell.record.add("process over its memory", host=host.name, used_kb=used, limit_kb=MEMORY_KB)
+                host.kill()
+        await asyncio.sleep(0.005)
 
-    def on_start(worker, task, number):
-        step = int(task.split(".")[2])
-        if steps[step]["requires"] not in worker.labels:
-            wrong.append(task)
-            cell.record.add("label missing", worker=worker.name, task=task, run=number, labels=worker.labels)
 
+async def case(cell, trouble):
+    for number in range(14):
+        cell.add_worker(labels=("a", f"r1-{number // 8}"))
+    watch = asyncio.ensure_future(watch_memory(cell))
     await cell.start([route("letters")])
-    for worker in cell.workers:
-        worker.on_start = on_start
-    steps = [
-        {"count": 1, "cpu": 1000, "memMb": 512, "estMs": FIRST_STEP_MS, "requires": "a"},
-        {"count": 2, "cpu": 2000, "memMb": 512, "estMs": 3000, "requires": "b", "after": [0]},
-    ]
-    path = "/letters/" + job_id()
-    if not await cell.submit(cell.hosts[0], path, {"spec": f"ms={FIRST_STEP_MS}", "steps": steps}):
-        raise CannotRun("the job was not accepted")
-    await asyncio.sleep(0.8)
-    began = time.monotonic()
-    if trouble:
-        cell.record.add("store down")
-        cell.store.silent = True
-        await asyncio.sleep(CRASH_AT_S)
-        special.crash()
-        special.labels = ["a", "r1-0"]
-        await asyncio.sleep(WORKER_DOWN_S)
-        await special.start()
-    await asyncio.sleep(began + STORE_DOWN_S - time.monotonic())
-    if trouble:
-        cell.record.add("store up")
-        cell.store.silent = False
-    await asyncio.sleep(2)
-    _, answer = await cell.call(cell.hosts[0], "GET", path)
-    cell.record.add("seen", answer=answer, wrong=wrong)
-    if wrong:
-        return f"{len(wrong)} tasks that require the label b were started on a worker of kind a"
+    each_minute = {
+        "spec": "ms=500",
+        "steps": [{"count": 1, "cpu": 500, "memMb": 256, "estMs": 500}],
+        "times": MINUTES_A_YEAR if trouble else 60,
+        "startTimeMs": int(time.time() * 1000) + MINUTE_MS,
+        "intervalMs": MINUTE_MS,
+    }
+    accepted = []
+    for _ in range(CALLERS):
+        path = "/letters/" + job_id()
+        # Each retry reaches another node.
+        taken = False
+        for attempt in range(TRIES):
+            taken = taken or await cell.submit(cell.hosts[attempt % 3], path, each_minute, tries=1)
+            if taken:
+                break
+            await asyncio.sleep(1.5)
+        accepted.append(taken)
+        await asyncio.sleep(2)
+    watch.cancel()
+    ends = {host.name: host.ends for host in cell.hosts}
+    cell.record.add("seen", accepted=accepted, ends=ends, peak_kb=[host.peak_kb for host in cell.hosts])
+    if trouble and not any(ends.values()) and not all(accepted):
+        raise CannotRun("a job was not accepted, and no process ended")
+    if sum(count >= 3 for count in ends.values()) >= 2:
+        return f"processes ended by themselves: {ends}; jobs accepted: {accepted}"
     return None
 
 
