--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -637,7 +637,11 @@
         for host in self.hosts:
             host.stopping = True
             host.kill()
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(0.3)
+        for host in self.hosts:
+            # One that was about to start when it was to stop.
+            host.kill()
+        await asyncio.sleep(0.1)
         for task in self.tasks:
             task.cancel()
         for worker in self.workers:
