--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -18,6 +18,7 @@
 import re
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -87,6 +88,7 @@
         self.host, self.port, self.handle = host, port, handle
         self.server = None
         self.writers = set()
+        self.fillers = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port, reuse_address=True)
@@ -112,8 +114,25 @@
             self.writers.discard(writer)
             writer.close()
 
+    def go_dark(self):
+        """Answers nothing any more, as without power: attempts to connect hang, and open connections stay silent."""
+        descriptor = self.server.sockets[0].fileno()
+        asyncio.get_running_loop().remove_reader(descriptor)
+        listener = socket.socket(fileno=os.dup(descriptor))
+        listener.listen(0)
+        listener.close()
+        for _ in range(2):
+            # The kernel drops further attempts once its queue is full.
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.port))
+            self.fillers.append(filler)
+
     def stop(self):
         """Closes the address and resets its connections."""
+        for filler in self.fillers:
+            filler.close()
+        self.fillers = []
         if self.server is not None:
             self.server.close()
             self.server = None
@@ -300,7 +319,9 @@
         self.record.add("worker crashed", worker=self.name, dark=dark, lost=lost)
         self.up = False
         self.beat_task.cancel()
-        if not dark:
+        if dark:
+            self.server.go_dark()
+        else:
             self.server.stop()
         for run in self.runs.values():
             run["timer"].cancel()
@@ -375,6 +396,9 @@
             return 0, {}
         if headers.get("expect-instance", self.name) != self.name:
             return self.answer(421)
+        if path == "/run-start" and self.reject_starts:
+            self.record.add("start rejected", worker=self.name, task=body["task"], run=body["run"], status=503)
+            return self.answer(503)
         self.lapse()
         fence = body.get("fence", 0)
         if fence < self.fence:
@@ -390,9 +414,6 @@
 
     def begin(self, body):
         task, number = body["task"], body["run"]
-        if self.reject_starts:
-            self.record.add("start rejected", worker=self.name, task=task, run=number, status=503)
-            return self.answer(503)
         running = self.runs.get(task)
         if running and running["run"] == number:
             return self.answer(200)
@@ -426,10 +447,9 @@
     def halt(self, body):
         task, number = body["task"], body["run"]
         self.highest[task] = max(self.highest.get(task, 0), number)
-        if task in self.runs and self.runs[task]["run"] <= number:
+        if task in self.runs and self.runs[task]["run"] == number:
             self.end(task, "stopped")
-            return self.answer(200)
-        return self.answer(409, reason="old")
+        return self.answer(200)
 
     async def hold(self, body):
         self.extend(body)
