Count an answer as given once its last byte is written, and decide about the exit in one place

Callers saw: during rolling stops a host read a whole request, logged 503, and closed the connection 0.9 s later without a byte.

Cause: HttpServer counted a request as finished when its answer was handed to libevent. The tick that answered the last call found nothing in flight and ended the process in the same turn; the buffered answer was freed. Beside it: calls that wait at 0.75 of the grace time were cut, other listeners were not asked, the end of the loop was a message behind others that may read more requests, and connections accepted by the kernel were reset when listening ended.

HttpDelivery.AnAnswerIsInFlightUntilItIsWritten and ...ToASlowReader... show the cause without processes.

DescriptorLimit.AClientWithoutDescriptors... asks after a turn of the loop now: listening ends there, once the connections that wait are accepted. The check itself is the same.

--- a/src/agatepass/base/event_loop.cpp
+++ b/src/agatepass/base/event_loop.cpp
@@ -107,10 +107,12 @@
 }
 
 void EventLoop::Stop() {
-  this->Post([this] {
-    this->stopped = true;
-    event_base_loopbreak(this->base);
-  });
+  this->Post([this] { this->StopNow(); });
+}
+
+void EventLoop::StopNow() {
+  this->stopped = true;
+  event_base_loopbreak(this->base);
 }
 
 void EventLoop::Post(std::function<void()> message) {
--- a/src/agatepass/base/event_loop.h
+++ b/src/agatepass/base/event_loop.h
@@ -90,6 +90,10 @@
   /** Makes Run return after the current handler. Callable from any thread. */
   void Stop();
 
+  /** Makes Run return after the handler that calls this; no other handler runs
+   * before. Callable on the loop's thread only. */
+  void StopNow();
+
   /** Runs `message` on the loop's thread. Callable from any thread. */
   void Post(std::function<void()> message);
 
--- a/src/agatepass/base/http_server.cpp
+++ b/src/agatepass/base/http_server.cpp
@@ -87,7 +87,7 @@
 constexpr size_t kClosedForDescriptors = 16;
 
 /** Time since its last request or answer after which a connection counts as
- * idle: an answer may still be under way before. */
+ * idle: before, the next request is likely. */
 constexpr Duration kMinIdleTime = std::chrono::milliseconds(500);
 
 /** libevent passes an error of accept() on without the server that it concerns.
@@ -126,11 +126,25 @@
   return registry;
 }
 
+void EndRequest(HttpResponder::State& state) {
+  // Running it may destroy the state.
+  const std::function<void()> on_done = std::exchange(state.on_done, nullptr);
+  if (on_done) on_done();
+}
+
 }  // namespace
 
 void HttpResponder::Respond(const HttpAnswer& answer) const {
   if (!this->open()) return;
   evhttp_request* request = std::exchange(this->state->request, nullptr);
+  this->state->answered = true;
+  // The request ends once it is written; the server keeps the state until then.
+  evhttp_request_set_on_complete_cb(
+      request,
+      [](evhttp_request* /*request*/, void* written) {
+        EndRequest(*static_cast<State*>(written));
+      },
+      this->state.get());
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   for (const HttpHeader& header : answer.headers) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -139,8 +153,6 @@
   evbuffer_add(body, answer.body.data(), answer.body.size());
   evhttp_send_reply(request, answer.status, nullptr, body);
   evbuffer_free(body);
-  const std::function<void()> on_done = std::move(this->state->on_done);
-  if (on_done) on_done();
 }
 
 HttpServer::HttpServer(EventLoop& loop, const HttpServerLimits& limits,
@@ -165,7 +177,7 @@
 }
 
 HttpServer::~HttpServer() {
-  this->StopListening();
+  this->CloseListener();
   for (const auto& [handle, connection] : this->open_connections) {
     evhttp_connection_set_closecb(handle, nullptr, nullptr);
   }
@@ -194,6 +206,27 @@
 }
 
 void HttpServer::StopListening() {
+  if (this->socket == nullptr || this->close_listener) return;
+  // Accepting has this priority too, and the loop runs what sockets ask for
+  // before timers: what waits at the socket by then is accepted first.
+  this->close_listener = std::make_unique<LoopEvent>(this->loop, -1, 0, [this] {
+    const bool more_wait =
+        this->resume_accepting != nullptr &&
+        this->open_connections.size() < this->max_connections;
+    if (more_wait) return this->close_listener->Arm(kAcceptPause);
+    this->CloseListener();
+  });
+  this->close_listener->SetPriority(EventPriority::kConnection);
+  this->close_listener->Arm(Duration(0));
+}
+
+void HttpServer::AnswerAll(const HttpAnswer& answer) {
+  const std::vector<std::shared_ptr<HttpResponder::State>> open =
+      *this->responders;
+  for (const auto& state : open) HttpResponder(state).Respond(answer);
+}
+
+void HttpServer::CloseListener() {
   if (this->socket == nullptr) return;
   this->resume_accepting.reset();
   GetListenerRegistry().Remove(evhttp_bound_socket_get_listener(this->socket));
@@ -284,8 +317,9 @@
   const std::shared_ptr<HttpResponder::State> state = closed->request;
   server->open_connections.erase(handle);
   if (!state) return;
+  if (state->answered) ++server->unwritten_count;
   state->request = nullptr;
-  if (const auto on_done = std::move(state->on_done)) on_done();
+  EndRequest(*state);
 }
 
 void HttpServer::Receive(evhttp_request* request) {
@@ -295,6 +329,7 @@
   Connection& connection = this->FindConnection(request);
   connection.request = state;
   connection.last_used = this->loop.Now();
+  this->latest_request = connection.last_used;
   this->KeepWithinLimit();
   state->on_done = [this, responders = this->responders, raw = state.get(),
                     handle = connection.handle] {
--- a/src/agatepass/base/http_server.h
+++ b/src/agatepass/base/http_server.h
@@ -52,6 +52,11 @@
    * abandoned. */
   struct State {
     evhttp_request* request = nullptr;
+    /** Whether an answer was passed to libevent, which may not have written it
+     * yet. */
+    bool answered = false;
+    /** Runs once: when the answer's last byte was passed to the kernel, or when
+     * the connection has ended. */
     std::function<void()> on_done;
   };
 
@@ -102,21 +107,33 @@
   /** Idle connections closed so far to make room for others. */
   uint64_t idle_closed() const { return this->idle_closed_count; }
 
-  /** Closes the listening socket; open connections go on. */
+  /** Closes the listening socket once the connections that wait there have been
+   * accepted; open connections go on. */
   void StopListening();
 
+  /** Gives one answer to all requests that have none. */
+  void AnswerAll(const HttpAnswer& answer);
+
   /** The address listened on, with the real port. */
   const Endpoint& endpoint() const { return this->bound; }
 
-  /** Requests that have been received and not yet answered. */
+  /** Requests that have been received and whose answers are not yet written to
+   * the last byte. */
   size_t in_flight() const { return this->responders->size(); }
 
+  /** Answers so far that were given and could not be written, as the
+   * connection ended before. */
+  uint64_t unwritten_answers() const { return this->unwritten_count; }
+
+  /** When the latest request was received. */
+  Instant last_request_at() const { return this->latest_request; }
+
  private:
   /** A connection on which a request has arrived. */
   struct Connection {
     HttpServer* server = nullptr;
     evhttp_connection* handle = nullptr;
-    /** The request in progress, if there is one. */
+    /** The request in progress, until its answer is written. */
     std::shared_ptr<HttpResponder::State> request;
     Instant last_used;
   };
@@ -124,6 +141,7 @@
   static bufferevent* OnAccepted(event_base* base, void* self);
   static void OnRequest(evhttp_request* request, void* self);
   static void OnConnectionClosed(evhttp_connection* handle, void* connection);
+  void CloseListener();
   void Receive(evhttp_request* request);
   Connection& FindConnection(evhttp_request* request);
   /** Closes connections that are idle, those idle for longest first.
@@ -144,8 +162,11 @@
   size_t accepted_in_round = 0;
   std::unique_ptr<LoopEvent> next_round;
   std::unique_ptr<LoopEvent> resume_accepting;
+  std::unique_ptr<LoopEvent> close_listener;
   uint64_t pause_count = 0;
   uint64_t idle_closed_count = 0;
+  uint64_t unwritten_count = 0;
+  Instant latest_request;
   evhttp* server = nullptr;
   evhttp_bound_socket* socket = nullptr;
   Endpoint bound;
--- a/src/agatepass/base/tests/descriptor_limit_test.cpp
+++ b/src/agatepass/base/tests/descriptor_limit_test.cpp
@@ -124,6 +124,8 @@
     EXPECT_FALSE(outcome.refused) << outcome.fault;
   }
   server.StopListening();
+  // Listening ends in the loop, once what waits there is accepted.
+  this->loop.RunDueHandlers();
   EXPECT_TRUE(this->Ask(client, served).refused);
 }
 
--- a/src/agatepass/pool/call_router.cpp
+++ b/src/agatepass/pool/call_router.cpp
@@ -169,4 +169,15 @@
   return std::exchange(this->effects, {});
 }
 
+std::vector<RouterEffect> CallRouter::EndAll() {
+  for (auto& [id, call] : std::exchange(this->calls, {})) {
+    const bool changes_nothing = call.request.verb == PeerVerb::kDescribe ||
+                                 call.request.verb == PeerVerb::kCountPending;
+    call.maybe_executed =
+        !changes_nothing && (call.maybe_executed || call.asked_revision != 0);
+    this->FailCall(id, call);
+  }
+  return std::exchange(this->effects, {});
+}
+
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/call_router.h
+++ b/src/agatepass/pool/call_router.h
@@ -126,6 +126,10 @@
    * \param now current time. */
   std::vector<RouterEffect> Advance(base::Instant now);
 
+  /** Answers all calls, as nothing can be waited for any more: as rejected, or
+   * as of unknown outcome if one may have been or may yet be executed. */
+  std::vector<RouterEffect> EndAll();
+
   /** Number of calls that are not answered yet. */
   size_t size() const { return this->calls.size(); }
 
--- a/src/agatepass/pool/tests/call_router_test.cpp
+++ b/src/agatepass/pool/tests/call_router_test.cpp
@@ -220,5 +220,31 @@
   EXPECT_EQ(this->answers[0].code, ResultCode::kPeerUnreachable);
 }
 
+// Guards against calls that are dropped, or wrongly called not run, when the
+// host can wait no longer.
+TEST_F(CallRouterTest, EndsAllCallsByWhatMayHaveBeenExecuted) {
+  this->Submit();
+  this->AdvanceFor(milliseconds(10));
+  std::vector<RouterEffect> effects = this->router.EndAll();
+  ASSERT_EQ(effects.size(), 1U);
+  EXPECT_EQ(std::get<AnswerCaller>(effects[0]).answer.code,
+            ResultCode::kPeerUnreachable);
+  EXPECT_GT(std::get<AnswerCaller>(effects[0]).answer.retry_after,
+            base::Duration(0));
+
+  this->router.SetPlanner(kFirstPlanner);
+  this->Submit();
+  this->router.Add({.verb = PeerVerb::kCountPending}, seconds(2), this->now);
+  this->AdvanceFor(milliseconds(10));
+  ASSERT_EQ(this->sent_attempts.size(), 2U);
+  effects = this->router.EndAll();
+  ASSERT_EQ(effects.size(), 2U);
+  EXPECT_EQ(std::get<AnswerCaller>(effects[0]).answer.code,
+            ResultCode::kOutcomeUnknown);
+  EXPECT_EQ(std::get<AnswerCaller>(effects[1]).answer.code,
+            ResultCode::kPeerUnreachable);
+  EXPECT_EQ(this->router.size(), 0U);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
--- /dev/null
+++ b/tests/process/cell_processes.h
@@ -0,0 +1,67 @@
+/** \file
+ * Entry hosts as separate processes of the real program, with the stand-in of
+ * the store, for tests with real sockets and signals.
+ */
+#ifndef TESTS_PROCESS_CELL_PROCESSES_H_
+#define TESTS_PROCESS_CELL_PROCESSES_H_
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "agatepass/base/http_message.h"
+#include "fakes/kv_server.h"
+
+namespace agatepass::process {
+
+/** One entry host. */
+struct HostProcess {
+  std::string address;
+  pid_t pid = 0;
+  std::string settings_path;
+  std::string log_path;
+  bool running = false;
+
+  base::Endpoint callers() const { return {this->address, 8161}; }
+  base::Endpoint readiness() const { return {this->address, 8167}; }
+  base::Endpoint metrics() const { return {this->address, 9464}; }
+};
+
+/** Starts hosts on loopback addresses of its own, and ends them with itself.
+ *
+ * \code
+ * CellProcesses cell(3);
+ * kill(cell.hosts[0].pid, SIGTERM);
+ * const int status = cell.Wait(cell.hosts[0]);
+ * \endcode
+ */
+class CellProcesses {
+ public:
+  explicit CellProcesses(size_t host_count);
+  ~CellProcesses();
+  CellProcesses(const CellProcesses&) = delete;
+  CellProcesses& operator=(const CellProcesses&) = delete;
+
+  /** Starts the process of a host that is not running. */
+  void Start(HostProcess& host);
+  /** Waits for the end of a host's process.
+   * \return its status, as waitpid() gives it. */
+  static int Wait(HostProcess& host);
+  /** Returns the host whose log says last that its term began; nullptr if none
+   * did. */
+  HostProcess* FindPlanner();
+
+  std::vector<HostProcess> hosts;
+
+ private:
+  std::filesystem::path folder;
+  std::unique_ptr<fakes::KvServer> store;
+};
+
+}  // namespace agatepass::process
+
+#endif  // TESTS_PROCESS_CELL_PROCESSES_H_
