Keep in memory and in the store what is due of a job, not how often it runs

Callers saw: a small job with `times` 525,600 got no answer; each planner that got it grew over its memory and was killed.

Cause: the planner built steps and tasks of all occurrences when a job was handed in or loaded; passes, sums of load and the stored progress walked and listed all of them. No bound named occurrences.

Now an occurrence's steps are in memory from its due time until its tasks have succeeded (planner_occurrences), ended ones are ranges (occurrence_set), the objective of an occurrence counts from its due time, accepted work has a bound in bytes beyond which submissions get 429 at once, final jobs give their steps back. The other numbers of a submission: text, steps, dependencies, size in the store, interval are checked on the host that takes the call; paths through the steps are found in one pass.

--- a/src/agatepass/pool/job.cpp
+++ b/src/agatepass/pool/job.cpp
@@ -8,10 +8,8 @@
 
 namespace {
 
-/** Maximum number of tasks in one occurrence of a job; larger jobs are rejected
- * as malformed.
- */
-constexpr uint64_t kMaxTasksPerOccurrence = 20'000;
+/** Maximum length of the text that the tasks are started with. */
+constexpr size_t kMaxPayloadBytes = 4000;
 
 }  // namespace
 
@@ -35,21 +33,16 @@
   return critical_path;
 }
 
-base::Duration RemainingCriticalPathDuration(const Job& job, size_t first) {
-  std::vector<bool> is_dependent(job.steps.size(), false);
-  std::vector<base::Duration> ends(job.steps.size(), base::Duration(0));
-  is_dependent[first] = true;
-  ends[first] = job.steps[first].estimate;
-  base::Duration critical_path = ends[first];
-  for (size_t i = first + 1; i < job.steps.size(); ++i) {
+std::vector<base::Duration> RemainingCriticalPathDurations(const Job& job) {
+  std::vector<base::Duration> paths(job.steps.size(), base::Duration(0));
+  // Steps depend on earlier ones only: each is complete before it is passed on.
+  for (size_t i = job.steps.size(); i-- > 0;) {
+    paths[i] += job.steps[i].estimate;
     for (const uint32_t earlier : job.steps[i].depends_on) {
-      if (!is_dependent[earlier]) continue;
-      is_dependent[i] = true;
-      ends[i] = std::max(ends[i], ends[earlier] + job.steps[i].estimate);
+      if (earlier < i) paths[earlier] = std::max(paths[earlier], paths[i]);
     }
-    critical_path = std::max(critical_path, ends[i]);
   }
-  return critical_path;
+  return paths;
 }
 
 double EstimatedWork(const Job& job) {
@@ -62,7 +55,7 @@
   return work;
 }
 
-std::string FindValidationError(const Job& job) {
+std::string FindStructureError(const Job& job) {
   if (job.steps.empty()) return "the job has no steps";
   uint64_t tasks = 0;
   for (size_t i = 0; i < job.steps.size(); ++i) {
@@ -86,4 +79,16 @@
   return "";
 }
 
+std::string FindValidationError(const Job& job) {
+  if (job.payload.size() > kMaxPayloadBytes) {
+    return fmt::format("a text of {} bytes is longer than {}",
+                       job.payload.size(), kMaxPayloadBytes);
+  }
+  if (job.occurrences > 1 && job.interval_ms < 0) {
+    return fmt::format("an interval of {} ms is less than nothing",
+                       job.interval_ms);
+  }
+  return FindStructureError(job);
+}
+
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/job.h
+++ b/src/agatepass/pool/job.h
@@ -114,16 +114,24 @@
  * estimated run times. */
 base::Duration CriticalPathDuration(const Job& job);
 
-/** Returns the duration of the critical path from the start of step `first`
- * to the end of the job, through the steps that depend on it. */
-base::Duration RemainingCriticalPathDuration(const Job& job, size_t first);
+/** Returns for each step the duration of the critical path from its start to
+ * the end of the job, through the steps that depend on it. */
+std::vector<base::Duration> RemainingCriticalPathDurations(const Job& job);
 
 /** Returns the estimated processor time of all tasks of one occurrence, in
  * millicore-seconds. */
 double EstimatedWork(const Job& job);
 
-/** Validates a job.
+/** Maximum number of tasks in one occurrence of a job; larger jobs are rejected
+ * as malformed. */
+inline constexpr uint64_t kMaxTasksPerOccurrence = 20'000;
+
+/** Checks the steps of a job, submitted or stored.
  * \return why the job cannot be planned, naming the step; empty if it can. */
+std::string FindStructureError(const Job& job);
+
+/** Checks a job that is submitted.
+ * \return why it cannot be accepted, naming the field; empty if it can. */
 std::string FindValidationError(const Job& job);
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -202,6 +202,7 @@
   advice.in_flight = false;
   this->places.OnQueryDone(advice.lane, this->input_lag, time.now);
   this->ReleaseTicketReservations(*step);
+  this->MarkForTrim(*step->job);
   if (!step->job->IsOpen()) return;
   this->scheduling_needed = true;
   if (!reply.answered) {
@@ -212,7 +213,7 @@
     return;
   }
   advice.answered = true;
-  const bool is_late = time.now > step->job->objective_end;
+  const bool is_late = time.now > GetObjectiveEnd(*step);
   advice.next_look_at =
       time.now + DelayBeforeNextQuery(++advice.answers_without_start, is_late);
   base::Duration ticket_lifetime = reply.ticket_lifetime;
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "agatepass/pool/memory_cost.h"
 #include "agatepass/pool/pool_planner.h"
 
 namespace agatepass::pool {
@@ -11,6 +12,10 @@
 /** Time for which a count of pending jobs is told again. */
 constexpr base::Duration kPendingCountPeriod = std::chrono::milliseconds(50);
 
+/** Retry delay while accepted work leaves no memory: jobs that have ended are
+ * kept for a while, and leave it then. */
+constexpr base::Duration kMemoryRetryDelay = std::chrono::seconds(10);
+
 /** Returns the number of tasks of a job without occurrences. */
 double CountTasks(const Job& job) {
   double tasks = 0;
@@ -61,6 +66,11 @@
                  base::Duration(0), std::move(error), time);
     return;
   }
+  if (std::string error = FindSizeError(job); !error.empty()) {
+    this->Reject(call, job, base::ResultCode::kInvalidRequest,
+                 base::Duration(0), std::move(error), time);
+    return;
+  }
   if (this->handing_over || this->store_health.IsDown()) {
     this->Reject(call, job, base::ResultCode::kStoreUnreachable,
                  this->store_health.RetryAfter(time.now),
@@ -73,7 +83,12 @@
                  "a task is larger than every worker", time);
     return;
   }
-  if (const auto retry_delay = this->CheckOverload(job, *queue, time.now)) {
+  if (!this->HasMemoryFor(job)) {
+    this->Reject(call, job, base::ResultCode::kOverloaded, kMemoryRetryDelay,
+                 "the work accepted before it leaves no memory for it", time);
+    return;
+  }
+  if (const auto retry_delay = this->CheckOverload(job, *queue, time)) {
     this->Reject(call, job, base::ResultCode::kOverloaded, *retry_delay,
                  "it would end too late behind the work accepted before it",
                  time);
@@ -82,7 +97,8 @@
   job.accepted_ms = time.wall_ms;
   job.policy = queue->policy;
   JobState& state = this->AddJob(std::move(job), time);
-  this->AddToLoad(state, time.now);
+  this->AwaitOccurrences(state);
+  this->AddToLoad(state, time);
   if (state.job.occurrences == 0) {
     this->capacity.OnAccepted(state.policy.priority, CountTasks(state.job),
                               time.now);
@@ -141,22 +157,12 @@
         std::chrono::milliseconds(time.wall_ms - state->job.accepted_ms);
   }
   this->ApplyQueuePolicy(*state);
-  const uint32_t occurrence_count = std::max(1U, state->job.occurrences);
-  for (uint32_t occurrence = 0; occurrence < occurrence_count; ++occurrence) {
-    for (uint32_t number = 0; number < state->job.steps.size(); ++number) {
-      auto step = std::make_unique<StepState>();
-      step->job = state.get();
-      step->definition = &state->job.steps[number];
-      step->occurrence = occurrence;
-      step->step_index = number;
-      step->tasks.resize(step->definition->count);
-      step->waiting = step->definition->count;
-      step->remaining_critical_path =
-          RemainingCriticalPathDuration(state->job, number);
-      state->steps.push_back(std::move(step));
-    }
-  }
+  state->remaining_paths = RemainingCriticalPathDurations(state->job);
   JobState& added = *state;
+  this->AddHeld(added, DefinitionCost(added.job));
+  if (added.job.occurrences == 0 && !added.job.steps.empty()) {
+    this->OpenOccurrence(added, 0, time);
+  }
   this->open[added.job.id] = &added;
   this->jobs_by_id[added.job.id] = &added;
   this->jobs[added.job.id] = std::move(state);
@@ -180,6 +186,7 @@
       this->places.OnQueryDone(step->advice.lane, this->input_lag, time.now);
     }
   }
+  this->ReleaseHeld(job, job.held_bytes);
   this->open.erase(job.job.id);
   this->unwritten_jobs.Remove(job.job.id);
   const base::JobId id = job.job.id;
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -29,6 +29,17 @@
  * expected revision. */
 constexpr size_t kMaxEntriesPerJob = 4;
 
+/** Bytes of a commit from which on no further job is added. */
+constexpr size_t kMaxBytesPerCommit = 1'000'000;
+
+size_t CountBytes(const StoreCommit& commit) {
+  size_t bytes = 0;
+  for (const StoreWrite& write : commit.writes) {
+    if (write.value) bytes += write.value->size();
+  }
+  return bytes;
+}
+
 /** Appends task `index` to the ranges, or extends the last range by it. */
 void AddSucceeded(std::vector<SucceededRange>& ranges, const StepState& step,
                   uint32_t index) {
@@ -44,12 +55,9 @@
 }
 
 /** Whether a task of the job has a run that has not provably ended. */
-bool HasRuns(const JobState& job) {
-  return std::any_of(job.steps.begin(), job.steps.end(), [](const auto& step) {
-    return std::any_of(
-        step->tasks.begin(), step->tasks.end(),
-        [](const TaskState& task) { return task.current_run != nullptr; });
-  });
+bool JobHasRuns(const JobState& job) {
+  return std::any_of(job.steps.begin(), job.steps.end(),
+                     [](const auto& step) { return HasRuns(*step); });
 }
 
 }  // namespace
@@ -71,6 +79,7 @@
   progress.final_ms = job.final_ms;
   // No task of a final job is started again.
   if (!job.IsOpen()) return progress;
+  progress.finished = job.finished;
   for (const auto& step : job.steps) {
     for (uint32_t i = 0; i < step->tasks.size(); ++i) {
       const TaskState& task = step->tasks[i];
@@ -92,6 +101,18 @@
   return progress;
 }
 
+std::string PoolPlanner::EncodeProgressOf(const JobState& job,
+                                          const PlannerTime& time) const {
+  JobProgress progress = this->BuildProgress(job);
+  std::string value = EncodeProgress(progress);
+  if (value.size() <= kMaxStoredBytes) return value;
+  // Work is repeated then, and nothing else is lost.
+  for (TaskProgress& task : progress.tasks) task.checkpoint.clear();
+  this->log.Add(time.now, "checkpoints not stored", "job={} bytes={} tasks={}",
+                job.job.id.value, value.size(), progress.tasks.size());
+  return EncodeProgress(progress);
+}
+
 bool PoolPlanner::HasWriteBacklog() const {
   return this->unwritten_jobs.size() >=
          this->options.max_entries_per_commit / kTypicalEntriesPerJob;
@@ -123,7 +144,7 @@
     const bool has_backlog = this->HasWriteBacklog();
     StoreCommit commit;
     SentCommit sent;
-    if (!this->FillCommit(commit, sent) && !probing) break;
+    if (!this->FillCommit(commit, sent, time) && !probing) break;
     commit.id = this->next_commit_id++;
     sent.sent_at = time.now;
     this->commits.emplace(commit.id, std::move(sent));
@@ -137,17 +158,19 @@
   this->backlog_left = this->HasWriteBacklog();
 }
 
-bool PoolPlanner::FillCommit(StoreCommit& commit, SentCommit& sent) {
+bool PoolPlanner::FillCommit(StoreCommit& commit, SentCommit& sent,
+                             const PlannerTime& time) {
   this->AddWorkerRoster(commit, sent);
   std::vector<base::JobId> selected;
   for (const auto& [urgency, arrival, id] : this->unwritten_jobs.entries()) {
     if (commit.CountEntries() + kMaxEntriesPerJob >
-        this->options.max_entries_per_commit) {
+            this->options.max_entries_per_commit ||
+        CountBytes(commit) > kMaxBytesPerCommit) {
       break;
     }
     if (this->being_written.contains(id)) continue;
     if (JobState* job = this->FindJob(id)) {
-      this->AddJobWrites(*job, commit, sent);
+      this->AddJobWrites(*job, commit, sent, time);
     }
     selected.push_back(id);
   }
@@ -186,7 +209,7 @@
 }
 
 void PoolPlanner::AddJobWrites(JobState& job, StoreCommit& commit,
-                               SentCommit& sent) {
+                               SentCommit& sent, const PlannerTime& time) {
   const base::JobId& id = job.job.id;
   const size_t before = commit.writes.size();
   if (!job.stored) {
@@ -196,7 +219,7 @@
   }
   if (job.changes > job.stored_changes) {
     commit.writes.push_back({.key = ProgressKey(id),
-                             .value = EncodeProgress(this->BuildProgress(job)),
+                             .value = this->EncodeProgressOf(job, time),
                              .expected = job.progress_revision});
     sent.progress_written.emplace_back(id, job.changes);
   }
@@ -389,7 +412,7 @@
       this->uncompacted_jobs.pop_front();
       const auto job = this->jobs.find(id);
       if (job == this->jobs.end()) continue;
-      if (HasRuns(*job->second)) {
+      if (JobHasRuns(*job->second)) {
         // A new leader needs the definition to know which resources the runs
         // take.
         still_running.push_back(id);
@@ -400,6 +423,7 @@
       commit.writes.push_back(
           {.key = JobKey(id), .value = kCompactedJobRecord});
       sent.compacted.push_back(id);
+      this->DropDefinition(*job->second);
     }
     if (commit.writes.empty()) break;
     sent.sent_at = time.now;
@@ -426,10 +450,11 @@
       ++entry;
       continue;
     }
-    if (HasRuns(job)) {
+    if (JobHasRuns(job)) {
       ++entry;
       continue;
     }
+    this->ReleaseHeld(job, job.held_bytes);
     commit.writes.push_back({.key = JobKey(entry->first)});
     commit.writes.push_back({.key = ProgressKey(entry->first)});
     sent.removed.push_back(entry->first);
--- a/src/agatepass/pool/planner_gangs.cpp
+++ b/src/agatepass/pool/planner_gangs.cpp
@@ -300,12 +300,11 @@
       definition.long_running) {
     return false;
   }
-  const JobState& job = *run.step->job;
-  if (job.policy.priority <= gang.job->policy.priority) return false;
+  if (run.step->job->policy.priority <= gang.job->policy.priority) return false;
   if (run.last_progress.percent >= kNearlyDonePercent) return false;
   // The run's own objective must leave time for the wait and for repeating lost
   // work.
-  if (job.objective_end <
+  if (GetObjectiveEnd(*run.step) <
       time.now + 2 * definition.estimate + kExpectedStopTime) {
     return false;
   }
--- a/src/agatepass/pool/planner_load.cpp
+++ b/src/agatepass/pool/planner_load.cpp
@@ -1,6 +1,7 @@
 // The load of a service's workers, by which jobs are admitted.
 #include "agatepass/pool/admission.h"
 #include "agatepass/pool/pool_planner.h"
+#include "agatepass/pool/urgency.h"
 
 namespace agatepass::pool {
 
@@ -12,18 +13,6 @@
  * bounds the part of the planner's time that admission takes. */
 constexpr double kLoadsPerInterval = 40;
 
-/** Returns the estimated processor time of a job's waiting tasks, in
- * millicore-seconds. */
-double WaitingWork(const JobState& job) {
-  double work = 0;
-  for (const auto& step : job.steps) {
-    work += static_cast<double>(step->waiting) *
-            static_cast<double>(step->definition->need.millicores) *
-            base::ToSeconds(step->definition->estimate);
-  }
-  return work;
-}
-
 /** Returns what a job of this priority finds: its own priority's work and all
  * that comes before it. */
 PoolLoad SelectLoad(const ServiceLoad& service, uint32_t priority) {
@@ -42,7 +31,8 @@
 }  // namespace
 
 const ServiceLoad& PoolPlanner::FindLoad(const base::ServiceId& service,
-                                         base::Instant now) {
+                                         const PlannerTime& time) {
+  const base::Instant now = time.now;
   ServiceLoad& load = this->loads[service];
   if (now < load.valid_until) return load;
   load = {};
@@ -65,7 +55,7 @@
   }
   for (const auto& [id, job] : this->open) {
     examined += job->steps.size();
-    if (job->policy.service == service) this->AddWaiting(load, *job, now);
+    if (job->policy.service == service) this->AddWaiting(load, *job, time);
   }
   this->totals.workers_examined += examined;
   load.valid_until = now + this->TimeToExamine(kLoadsPerInterval *
@@ -74,33 +64,43 @@
 }
 
 void PoolPlanner::AddWaiting(ServiceLoad& load, const JobState& job,
-                             base::Instant now) const {
+                             const PlannerTime& time) const {
   // Work later than three times the time that its objective allows
   // (Urgency::kTooLate) only uses capacity that other work leaves free. Late
   // work of an earlier term does too: it became late while it could not start.
   // The job's long-running steps are left out too, although they stay urgent.
-  const base::Duration allowed = job.objective_end - job.accepted_at;
   const base::Duration counted_late =
-      job.inherited ? base::Duration(0) : 2 * allowed;
-  if (now > job.objective_end + counted_late) return;
-  WaitingLoad& waiting = load.waiting[job.policy.priority];
-  waiting.work += WaitingWork(job);
-  waiting.startable_millicores += this->StartableMillicores(job, now);
-  if (now <= job.objective_end) {
-    waiting.startable_tasks += this->CountStartableTasks(job, now);
+      job.inherited ? base::Duration(0)
+                    : (kTooLateFactor - 1) * GetObjectiveTime(job);
+  WaitingLoad* waiting = nullptr;
+  for (const auto& step : job.steps) {
+    const base::Instant objective_end = GetObjectiveEnd(*step);
+    if (time.now > objective_end + counted_late) continue;
+    if (waiting == nullptr) waiting = &load.waiting[job.policy.priority];
+    const double tasks = step->waiting;
+    const double millicores =
+        tasks * static_cast<double>(step->definition->need.millicores);
+    waiting->work += millicores * base::ToSeconds(step->definition->estimate);
+    if (!this->IsReady(*step, time)) continue;
+    if (!step->definition->gang) waiting->startable_millicores += millicores;
+    // What waits for resources needs no more of the planner for now.
+    if (time.now <= objective_end &&
+        step->wait.reason != WaitReason::kResources) {
+      waiting->startable_tasks += tasks;
+    }
   }
 }
 
-void PoolPlanner::AddToLoad(const JobState& job, base::Instant now) {
+void PoolPlanner::AddToLoad(const JobState& job, const PlannerTime& time) {
   const auto load = this->loads.find(job.policy.service);
   if (load == this->loads.end()) return;
-  this->AddWaiting(load->second, job, now);
+  this->AddWaiting(load->second, job, time);
 }
 
-std::optional<base::Duration> PoolPlanner::CheckOverload(const Job& job,
-                                                         const Queue& queue,
-                                                         base::Instant now) {
-  PoolLoad load = SelectLoad(this->FindLoad(queue.policy.service, now),
+std::optional<base::Duration> PoolPlanner::CheckOverload(
+    const Job& job, const Queue& queue, const PlannerTime& time) {
+  const base::Instant now = time.now;
+  PoolLoad load = SelectLoad(this->FindLoad(queue.policy.service, time),
                              queue.policy.priority);
   load.starts_per_second = this->capacity.RateFor(queue.policy.priority, now);
   const auto retry_delay = FindAdmissionRetryDelay(load, job, queue.policy);
@@ -124,26 +124,4 @@
   return retry_delay;
 }
 
-double PoolPlanner::CountStartableTasks(const JobState& job,
-                                        base::Instant now) const {
-  double tasks = 0;
-  for (const auto& step : job.steps) {
-    // What waits for resources needs no more of the planner for now.
-    if (step->wait.reason == WaitReason::kResources) continue;
-    if (this->IsReady(*step, {now, 0})) tasks += step->waiting;
-  }
-  return tasks;
-}
-
-double PoolPlanner::StartableMillicores(const JobState& job,
-                                        base::Instant now) const {
-  double millicores = 0;
-  for (const auto& step : job.steps) {
-    if (step->definition->gang || !this->IsReady(*step, {now, 0})) continue;
-    millicores += static_cast<double>(step->waiting) *
-                  static_cast<double>(step->definition->need.millicores);
-  }
-  return millicores;
-}
-
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -95,6 +95,9 @@
    * that look for a place: a bound on the part of its processor time that is
    * not spent on starts and ends. */
   double max_workers_examined_per_second = 5e6;
+  /** Memory for accepted work, estimated. Submissions beyond a part of it are
+   * rejected, and occurrences beyond it wait. */
+  size_t max_held_bytes = size_t{100} * 1024 * 1024;
   /** How long before its due time an occurrence may start. */
   base::Duration max_early_start{0};
 };
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -27,6 +27,7 @@
 }  // namespace
 
 void PoolPlanner::ScheduleReadySteps(const PlannerTime& time) {
+  this->OpenDueOccurrences(time);
   this->DropExpiredGangReservations(time.now);
   const uint64_t examined_before = this->totals.workers_examined;
   std::vector<StepState*> ready = this->CollectReadySteps(time);
@@ -37,7 +38,7 @@
     this->passes_without_room = 0;
     std::stable_sort(ready.begin(), ready.end(),
                      [](const StepState* left, const StepState* right) {
-                       return left->job->accepted_at < right->job->accepted_at;
+                       return left->released_at < right->released_at;
                      });
   }
   for (StepState* step : ready) {
@@ -70,13 +71,14 @@
   if (step.waiting == 0) return false;
   const JobState& job = *step.job;
   if (job.job.occurrences > 0) {
-    const int64_t due =
-        job.job.first_due_ms +
-        static_cast<int64_t>(step.occurrence) * job.job.interval_ms -
-        base::ToMilliseconds(this->options.max_early_start);
-    if (time.wall_ms < due) return false;
+    const int64_t due = DueMs(job.job, step.occurrence);
+    if (time.wall_ms + base::ToMilliseconds(this->options.max_early_start) <
+        due) {
+      return false;
+    }
   }
-  const size_t first = step.occurrence * job.job.steps.size();
+  if (step.definition->depends_on.empty()) return true;
+  const size_t first = job.FindOccurrence(step.occurrence);
   return std::all_of(
       step.definition->depends_on.begin(), step.definition->depends_on.end(),
       [&](uint32_t earlier) { return job.steps[first + earlier]->IsDone(); });
@@ -93,7 +95,7 @@
         step->wait = {.since = time.now};
       }
       ready.emplace_back(GetUrgency(*step, time.now),
-                         job->objective_end - step->remaining_critical_path,
+                         GetObjectiveEnd(*step) - step->remaining_critical_path,
                          step.get());
     }
   }
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -52,17 +52,36 @@
   return found == this->jobs_by_id.end() ? nullptr : found->second;
 }
 
-StepState* PoolPlanner::FindStep(const TaskName& task) {
-  JobState* found = this->FindJob(task.job);
-  if (found == nullptr) return nullptr;
-  JobState& job = *found;
-  const size_t position =
-      static_cast<size_t>(task.occurrence) * job.job.steps.size() + task.step;
-  if (task.step >= job.job.steps.size() || position >= job.steps.size()) {
+const Step* PoolPlanner::FindDefinition(const TaskName& task) const {
+  const JobState* job = this->FindJob(task.job);
+  if (job == nullptr || task.occurrence >= job->CountOccurrences() ||
+      task.step >= job->job.steps.size()) {
     return nullptr;
   }
-  StepState* step = job.steps[position].get();
-  return task.index < step->tasks.size() ? step : nullptr;
+  const Step& step = job->job.steps[task.step];
+  return task.index < step.count ? &step : nullptr;
+}
+
+StepState* PoolPlanner::FindStep(const TaskName& task) const {
+  if (this->FindDefinition(task) == nullptr) return nullptr;
+  const JobState& job = *this->FindJob(task.job);
+  const size_t first = job.FindOccurrence(task.occurrence);
+  if (first >= job.steps.size() ||
+      job.steps[first]->occurrence != task.occurrence) {
+    return nullptr;
+  }
+  return job.steps[first + task.step].get();
+}
+
+StepState* PoolPlanner::FindReportedStep(const TaskName& task,
+                                         const PlannerTime& time) {
+  if (this->FindDefinition(task) == nullptr) return nullptr;
+  JobState& job = *this->FindJob(task.job);
+  if (job.IsOpen() && !job.finished.Contains(task.occurrence) &&
+      !job.IsOpenOccurrence(task.occurrence)) {
+    this->OpenOccurrence(job, task.occurrence, time);
+  }
+  return this->FindStep(task);
 }
 
 void PoolPlanner::ReleaseRun(RunState& run) {
@@ -73,6 +92,7 @@
     TaskState& task = run.step->tasks[run.task.index];
     if (task.current_run == &run) task.current_run = nullptr;
     if (!task.succeeded) ++run.step->waiting;
+    this->MarkForTrim(*run.step->job);
   }
   this->EndTrial(run);
   if (run.start_place) this->places.OnStartForgotten(*run.start_place);
@@ -124,8 +144,12 @@
                   base::ToMilliseconds(time.now - run->start_requested_at));
     this->ReleaseRun(*run);
   }
-  StepState* step = this->FindStep(report.task);
-  if (step == nullptr) return 0;
+  StepState* step = this->FindReportedStep(report.task, time);
+  if (step == nullptr) {
+    // Of a job that is known it has no further effect.
+    const JobState* known = this->FindJob(report.task.job);
+    return known == nullptr ? 0 : known->changes;
+  }
   JobState& job = *step->job;
   TaskState& task = step->tasks[report.task.index];
   task.last_run = std::max(task.last_run, report.run);
@@ -164,10 +188,8 @@
   }
   if (!step.IsDone()) return;
   this->ReleaseTicketReservations(step);
-  const bool done =
-      std::all_of(job.steps.begin(), job.steps.end(),
-                  [](const auto& other) { return other->IsDone(); });
-  if (done) this->FinishJob(job, JobPhase::kSucceeded, time);
+  this->MarkForTrim(job);
+  if (job.IsAllDone()) this->FinishJob(job, JobPhase::kSucceeded, time);
 }
 
 void PoolPlanner::HandleFailure(WorkerState& worker, StepState& step,
@@ -217,6 +239,7 @@
   job.final_ms = time.wall_ms;
   job.final_at = time.now;
   this->open.erase(job.job.id);
+  this->MarkForTrim(job);
   this->MarkChanged(job);
   this->log.Add(time.now, "job ended",
                 "job={} queue={} phase={} after_ms={} objective_ms={}",
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -257,7 +257,8 @@
 void PoolPlanner::HandleUntrackedRun(WorkerState& worker,
                                      const ReportedRun& report,
                                      const PlannerTime& time) {
-  StepState* step = this->FindStep(report.task);
+  StepState* step = this->FindReportedStep(report.task, time);
+  const Step* definition = this->FindDefinition(report.task);
   const bool needed = step != nullptr && step->job->IsOpen() &&
                       step->job->inherited &&
                       !step->tasks[report.task.index].succeeded &&
@@ -265,7 +266,7 @@
   // A run of an unknown job may use any resources: all of the worker counts as
   // used until the run has ended.
   const platform::Resources need =
-      step == nullptr ? worker.record.total : step->definition->need;
+      definition == nullptr ? worker.record.total : definition->need;
   RunState& run = this->AddRun(report.task, report.run, worker,
                                needed ? step : nullptr, need);
   run.phase = RunPhase::kRunning;
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -137,56 +137,24 @@
                     entry.job.id.value);
       continue;
     }
+    if (const std::string error = FindStructureError(entry.job);
+        has_definition && !error.empty()) {
+      this->log.Add(time.now, "stored job cannot be carried",
+                    "job={} reason=\"{}\"", entry.job.id.value, error);
+      continue;
+    }
     JobState& job = this->AddJob(entry.job, time);
     job.stored = true;
     job.inherited = true;
     job.progress_revision = entry.progress_revision;
-    if (!entry.progress) continue;
-    for (const SucceededRange& range : entry.progress->succeeded) {
-      StepState* step = this->FindStep(
-          {entry.job.id, range.occurrence, range.step, range.first});
-      if (step == nullptr) continue;
-      for (uint32_t i = range.first; i <= range.last && i < step->tasks.size();
-           ++i) {
-        if (step->tasks[i].succeeded) continue;
-        step->tasks[i].succeeded = true;
-        ++step->succeeded;
-        --step->waiting;
-      }
-    }
-    for (const TaskProgress& task_progress : entry.progress->tasks) {
-      StepState* step =
-          this->FindStep({entry.job.id, task_progress.occurrence,
-                          task_progress.step, task_progress.index});
-      if (step == nullptr) continue;
-      TaskState& task = step->tasks[task_progress.index];
-      task.last_run =
-          std::max(task_progress.ended_run, task_progress.at_risk_run);
-      task.ended_run = task_progress.ended_run;
-      task.checkpoint = task_progress.checkpoint;
-      task.crashed_runs = task_progress.crashed_runs;
-      task.at_risk_run = task_progress.at_risk_run;
-      for (const CrashedRun& crash : task.crashed_runs)
-        task.last_run = std::max(task.last_run, crash.run);
-      if (task.at_risk_run > task.ended_run) {
-        this->inherited_risks.push_back({entry.job.id, task_progress.occurrence,
-                                         task_progress.step,
-                                         task_progress.index});
-      }
-      if (step->definition->gang) {
-        step->failed_runs = task_progress.failed_runs;
-      } else {
-        task.failed_runs = task_progress.failed_runs;
-      }
-    }
-    job.phase = entry.progress->phase;
-    job.stored_phase = job.phase;
-    job.final_ms = entry.progress->final_ms;
+    if (entry.progress) this->LoadProgress(job, *entry.progress, time);
+    this->AwaitOccurrences(job);
     if (!job.IsOpen()) {
       job.final_at = time.now;
       job.compacted = true;
       if (has_definition) this->uncompacted_jobs.push_back(job.job.id);
       this->open.erase(job.job.id);
+      this->MarkForTrim(job);
     }
   }
   this->unsynced_workers.insert(roster.workers.begin(), roster.workers.end());
@@ -196,7 +164,63 @@
                 this->jobs.size(), this->open.size(), roster.workers.size());
 }
 
+void PoolPlanner::LoadSucceeded(JobState& job, const SucceededRange& range,
+                                const PlannerTime& time) {
+  StepState* step = this->FindReportedStep(
+      {job.job.id, range.occurrence, range.step, range.first}, time);
+  if (step == nullptr) return;
+  for (uint32_t i = range.first; i <= range.last && i < step->tasks.size();
+       ++i) {
+    if (step->tasks[i].succeeded) continue;
+    step->tasks[i].succeeded = true;
+    ++step->succeeded;
+    --step->waiting;
+  }
+  // An older record lists each occurrence that has ended.
+  const auto first =
+      job.steps.begin() +
+      static_cast<ptrdiff_t>(job.FindOccurrence(range.occurrence));
+  if (job.job.occurrences > 0 && this->CloseOccurrence(job, *first)) {
+    job.steps.erase(first,
+                    first + static_cast<ptrdiff_t>(job.job.steps.size()));
+  }
+}
+
+void PoolPlanner::LoadProgress(JobState& job, const JobProgress& progress,
+                               const PlannerTime& time) {
+  job.finished = progress.finished;
+  for (const SucceededRange& range : progress.succeeded) {
+    this->LoadSucceeded(job, range, time);
+  }
+  for (const TaskProgress& stored : progress.tasks) {
+    const TaskName name{job.job.id, stored.occurrence, stored.step,
+                        stored.index};
+    StepState* step = this->FindReportedStep(name, time);
+    if (step == nullptr) continue;
+    TaskState& task = step->tasks[stored.index];
+    task.last_run = std::max(stored.ended_run, stored.at_risk_run);
+    task.ended_run = stored.ended_run;
+    task.checkpoint = stored.checkpoint;
+    task.crashed_runs = stored.crashed_runs;
+    task.at_risk_run = stored.at_risk_run;
+    for (const CrashedRun& crash : task.crashed_runs)
+      task.last_run = std::max(task.last_run, crash.run);
+    if (task.at_risk_run > task.ended_run) {
+      this->inherited_risks.push_back(name);
+    }
+    if (step->definition->gang) {
+      step->failed_runs = stored.failed_runs;
+    } else {
+      task.failed_runs = stored.failed_runs;
+    }
+  }
+  job.phase = progress.phase;
+  job.stored_phase = job.phase;
+  job.final_ms = progress.final_ms;
+}
+
 std::vector<Effect> PoolPlanner::Advance(const PlannerTime& time) {
+  this->TrimJobs();
   if (!this->superseded) {
     this->CheckLeadership(time.now);
     this->CheckCapacityReports(time.now);
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -208,6 +208,9 @@
   /** Returns the number of jobs that are accepted and not final. */
   size_t open_jobs() const { return this->open.size(); }
 
+  /** Returns the bytes that jobs take in memory, estimated. */
+  size_t held_memory() const { return this->held_bytes; }
+
  private:
   using RunKey = std::pair<TaskName, RunNumber>;
 
@@ -255,28 +258,54 @@
       const base::ServiceId& service);
   /** Sets the job's policy from the configuration, and its objective. */
   void ApplyQueuePolicy(JobState& job);
+  /** Adds a job; its occurrences are opened once they are due. */
   JobState& AddJob(Job job, const PlannerTime& time);
   void RejectUnstored(JobState& job, const PlannerTime& time);
 
+  // planner_occurrences.cpp
+  /** Brings the steps of an occurrence into memory. */
+  void OpenOccurrence(JobState& job, uint32_t occurrence,
+                      const PlannerTime& time);
+  /** Opens the occurrences that are due, as far as there is room. */
+  void OpenDueOccurrences(const PlannerTime& time);
+  bool MayOpenOccurrence(const JobState& job, const PlannerTime& time) const;
+  /** Notes when the job's next occurrence is due, if there is one. */
+  void AwaitOccurrences(JobState& job);
+  /** Whether a job may be accepted beside what is held already. */
+  bool HasMemoryFor(const Job& job) const;
+  void AddHeld(JobState& job, size_t bytes);
+  void ReleaseHeld(JobState& job, size_t bytes);
+  /** Notes that a part of the job may not be needed in memory any more. */
+  void MarkForTrim(const JobState& job);
+  /** Frees the steps of occurrences and jobs that have ended. */
+  void TrimJobs();
+  void TrimJob(JobState& job);
+  /** Frees the definition of a final job whose steps are freed. */
+  void DropDefinition(JobState& job);
+  /** Ends an occurrence in memory if nothing of it is needed any more.
+   * \param first its first step; the caller removes all of them.
+   * \return whether it was ended. */
+  bool CloseOccurrence(JobState& job, std::unique_ptr<StepState>& first);
+  /** Marks tasks as succeeded that the store has recorded so. */
+  void LoadSucceeded(JobState& job, const SucceededRange& range,
+                     const PlannerTime& time);
+  void LoadProgress(JobState& job, const JobProgress& progress,
+                    const PlannerTime& time);
+
   // planner_load.cpp
   /** Returns whether a new job would end too late: the time after which a retry
    * may succeed, or nothing if the job is admitted. */
   std::optional<base::Duration> CheckOverload(const Job& job,
                                               const Queue& queue,
-                                              base::Instant now);
+                                              const PlannerTime& time);
   /** Returns the service's load, summed up again if the last sum is too old. */
   const ServiceLoad& FindLoad(const base::ServiceId& service,
-                              base::Instant now);
+                              const PlannerTime& time);
   /** Adds a job's waiting work to a load. */
   void AddWaiting(ServiceLoad& load, const JobState& job,
-                  base::Instant now) const;
+                  const PlannerTime& time) const;
   /** Adds a job that was just accepted to the load of its service. */
-  void AddToLoad(const JobState& job, base::Instant now);
-  /** Returns the millicores needed by a job's tasks that could start now,
-   * gangs excluded. Steps of jobs with occurrences are left out. */
-  double StartableMillicores(const JobState& job, base::Instant now) const;
-  /** Returns the number of the job's tasks that could start now. */
-  double CountStartableTasks(const JobState& job, base::Instant now) const;
+  void AddToLoad(const JobState& job, const PlannerTime& time);
 
   // planner_commits.cpp
   /** Whether more writes wait than one commit can hold. */
@@ -285,9 +314,11 @@
   bool IsCommitDue(base::Instant now);
   void SendCommits(const PlannerTime& time);
   /** Adds pending writes to a commit. \return whether it has any. */
-  bool FillCommit(StoreCommit& commit, SentCommit& sent);
+  bool FillCommit(StoreCommit& commit, SentCommit& sent,
+                  const PlannerTime& time);
   void AddWorkerRoster(StoreCommit& commit, SentCommit& sent);
-  void AddJobWrites(JobState& job, StoreCommit& commit, SentCommit& sent);
+  void AddJobWrites(JobState& job, StoreCommit& commit, SentCommit& sent,
+                    const PlannerTime& time);
   void FinishCommit(const SentCommit& sent, platform::Revision revision,
                     const PlannerTime& time);
   /** Records a key's current revision after a refused commit; a job whose
@@ -299,6 +330,10 @@
   void QueueWrite(const JobState& job);
   void MarkChanged(JobState& job);
   JobProgress BuildProgress(const JobState& job) const;
+  /** Encodes the job's progress, without checkpoints if it would be too large
+   * for the store. */
+  std::string EncodeProgressOf(const JobState& job,
+                               const PlannerTime& time) const;
   /** Lets the worker discard the ends whose effect is stored. */
   void AcknowledgeStoredEnds(WorkerState& worker, const PlannerTime& time);
   void CompactFinalJobs(const PlannerTime& time);
@@ -506,7 +541,14 @@
   void FinishJob(JobState& job, JobPhase phase, const PlannerTime& time);
   /** Returns a job that is known; null for any other. */
   JobState* FindJob(const base::JobId& id) const;
-  StepState* FindStep(const TaskName& task);
+  /** Returns a task's step; null if its job is unknown, or its occurrence not
+   * open. */
+  StepState* FindStep(const TaskName& task) const;
+  /** Same, and opens an occurrence of which a worker or the store reports a
+   * run: an earlier planner's clock may have been ahead. */
+  StepState* FindReportedStep(const TaskName& task, const PlannerTime& time);
+  /** Returns the definition of a task's step; null if it is not known. */
+  const Step* FindDefinition(const TaskName& task) const;
 
   // planner_backlog.cpp
   /** Adds the ready steps and queries of a job to the backlog. */
@@ -608,6 +650,13 @@
   /** Whether a change since the last scheduling pass may let work start. */
   bool scheduling_needed = true;
   base::Instant next_scheduling_at;
+  /** Due times, in Unix milliseconds, of the next occurrence of each job that
+   * has one that is not open. */
+  std::set<std::pair<int64_t, base::JobId>> awaited_occurrences;
+  /** Jobs of which an occurrence, or all, may have ended. */
+  std::set<base::JobId> jobs_to_trim;
+  /** Bytes that all jobs hold, estimated. */
+  size_t held_bytes = 0;
   /** Time before which no scheduling pass begins, so that passes over much
    * waiting work leave time for the other work. */
   base::Instant earliest_scheduling_at;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -21,6 +21,7 @@
 #include "agatepass/pool/crash_history.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/messages.h"
+#include "agatepass/pool/occurrence_set.h"
 #include "agatepass/pool/record_codec.h"
 #include "agatepass/pool/step_wait.h"
 #include "agatepass/pool/worker_set.h"
@@ -180,7 +181,7 @@
   std::map<uint32_t, WaitingLoad> waiting;
 };
 
-/** One step of one occurrence of a job. */
+/** One step of one open occurrence of a job. */
 struct StepState {
   JobState* job = nullptr;
   const Step* definition = nullptr;
@@ -190,6 +191,9 @@
   uint32_t succeeded = 0;
   /** Number of tasks that have no run and have not succeeded. */
   uint32_t waiting = 0;
+  /** When its occurrence was due, or its job accepted if that was later: from
+   * then on its objective counts. */
+  base::Instant released_at;
   /** Estimated time from the start of this step to the end of its job, along
    * the critical path through the dependent steps. */
   base::Duration remaining_critical_path{0};
@@ -236,13 +240,41 @@
   /** Whether it was accepted in an earlier term: runs of its tasks may be
    * present on any worker. */
   bool inherited = false;
+  /** The steps of the open occurrences, ordered by occurrence and step: of
+   * those that were due and whose tasks have not all succeeded. */
   std::vector<std::unique_ptr<StepState>> steps;
+  /** Occurrences all of whose tasks have succeeded, except open ones. */
+  OccurrenceSet finished;
+  /** The first occurrence that has not been opened as it was due. */
+  uint64_t next_occurrence = 0;
+  /** Remaining critical path of each step of an occurrence. */
+  std::vector<base::Duration> remaining_paths;
+  /** Bytes of its definition and its open occurrences, estimated. */
+  size_t held_bytes = 0;
   std::vector<CallId> waiting_submits;
   std::vector<CallId> waiting_cancels;
 
   bool IsOpen() const { return !IsFinal(this->phase); }
+
+  /** Number of times that its steps run. */
+  uint64_t CountOccurrences() const {
+    return this->job.occurrences == 0 ? 1 : this->job.occurrences;
+  }
+  /** Returns the position in `steps` of this occurrence or, if it is not open,
+   * of the next one that is. */
+  size_t FindOccurrence(uint32_t occurrence) const;
+  bool IsOpenOccurrence(uint32_t occurrence) const;
+  /** Whether all tasks of all occurrences have succeeded. */
+  bool IsAllDone() const;
 };
 
+/** Returns the due time of an occurrence in Unix milliseconds; the largest
+ * number if it is beyond that. */
+int64_t DueMs(const Job& job, uint64_t occurrence);
+
+/** Whether a task of the step has a run that has not provably ended. */
+bool HasRuns(const StepState& step);
+
 /** An end whose effect on a job is not stored yet. */
 struct UnstoredEnd {
   uint64_t sequence_number = 0;
--- a/src/agatepass/pool/record_codec.cpp
+++ b/src/agatepass/pool/record_codec.cpp
@@ -12,6 +12,12 @@
 
 using Json = nlohmann::json;
 
+/** Steps and dependencies up to which the size of a definition need not be
+ * checked. */
+constexpr size_t kMaxSmallJob = 100;
+/** The same for the characters of its texts. */
+constexpr size_t kMaxSmallTexts = 10'000;
+
 // In the order of JobPhase.
 constexpr std::array<std::string_view, 5> kPhaseNames = {
     "queued", "running", "succeeded", "failed", "cancelled"};
@@ -160,6 +166,21 @@
   return out.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+std::string FindSizeError(const Job& job) {
+  size_t numbers = job.steps.size();
+  size_t characters = job.payload.size();
+  for (const Step& step : job.steps) {
+    numbers += step.depends_on.size();
+    characters += step.required_label.size() + step.image.size() +
+                  step.data_rack.value.size();
+  }
+  if (numbers <= kMaxSmallJob && characters <= kMaxSmallTexts) return "";
+  const size_t bytes = EncodeJob(job).size();
+  if (bytes <= kMaxStoredBytes) return "";
+  return fmt::format("its steps take {} bytes, more than {}", bytes,
+                     kMaxStoredBytes);
+}
+
 absl::StatusOr<Job> DecodeJob(std::string_view text) {
   try {
     const Json in = Json::parse(text);
@@ -194,6 +215,9 @@
 std::string EncodeProgress(const JobProgress& progress) {
   Json out = {{"phase", JobPhaseName(progress.phase)}};
   if (progress.final_ms != 0) out["final"] = progress.final_ms;
+  for (const OccurrenceRange& range : progress.finished.ranges()) {
+    out["times"].push_back({range.first, range.last});
+  }
   for (const SucceededRange& range : progress.succeeded) {
     out["ok"].push_back(
         {range.occurrence, range.step, range.first, range.last});
@@ -216,6 +240,10 @@
     }
     progress.phase = static_cast<JobPhase>(index);
     progress.final_ms = in.value("final", int64_t{0});
+    for (const Json& entry : in.value("times", Json::array())) {
+      progress.finished.Add(
+          {entry.at(0).get<uint32_t>(), entry.at(1).get<uint32_t>()});
+    }
     for (const Json& entry : in.value("ok", Json::array())) {
       progress.succeeded.push_back(
           {entry.at(0).get<uint32_t>(), entry.at(1).get<uint32_t>(),
--- a/src/agatepass/pool/record_codec.h
+++ b/src/agatepass/pool/record_codec.h
@@ -13,6 +13,7 @@
 #include "absl/status/statusor.h"
 #include "agatepass/pool/crash_history.h"
 #include "agatepass/pool/job.h"
+#include "agatepass/pool/occurrence_set.h"
 
 namespace agatepass::pool {
 
@@ -69,6 +70,9 @@
   JobPhase phase = JobPhase::kQueued;
   /** When the phase became final, Unix milliseconds; 0 before. */
   int64_t final_ms = 0;
+  /** Occurrences all of whose tasks have succeeded. */
+  OccurrenceSet finished;
+  /** Tasks of other occurrences that have succeeded. */
   std::vector<SucceededRange> succeeded;
   std::vector<TaskProgress> tasks;
 
@@ -87,9 +91,16 @@
 /** Returns the key of a job's progress. */
 std::string ProgressKey(const base::JobId& job);
 
+/** Largest value that is written to the store, which takes 2^20 bytes. */
+inline constexpr size_t kMaxStoredBytes = 1'000'000;
+
 /** Encodes a definition. */
 std::string EncodeJob(const Job& job);
 
+/** Checks that the definition of a job can be stored and sent to the planner.
+ * \return why not; empty if it can. */
+std::string FindSizeError(const Job& job);
+
 /** Decodes a definition. \return kInvalidRequest if it is malformed. */
 absl::StatusOr<Job> DecodeJob(std::string_view text);
 
--- a/src/agatepass/pool/urgency.h
+++ b/src/agatepass/pool/urgency.h
@@ -28,15 +28,25 @@
  * allows. */
 inline constexpr int kTooLateFactor = 3;
 
+/** Returns the time that the objective of a job, or of each of its occurrences,
+ * allows. */
+inline base::Duration GetObjectiveTime(const JobState& job) {
+  return job.objective_end - job.accepted_at;
+}
+
+/** Returns when the time that a step's occurrence is allowed ends. */
+inline base::Instant GetObjectiveEnd(const StepState& step) {
+  return step.released_at + GetObjectiveTime(*step.job);
+}
+
 /** Returns the urgency of a step at `now`. */
 inline Urgency GetUrgency(const StepState& step, base::Instant now) {
   const JobState& job = *step.job;
   if (step.definition->long_running) return Urgency::kUrgent;
-  const base::Duration objective_time = job.objective_end - job.accepted_at;
-  if (now > job.accepted_at + kTooLateFactor * objective_time) {
+  if (now > step.released_at + kTooLateFactor * GetObjectiveTime(job)) {
     return Urgency::kTooLate;
   }
-  if (now > job.objective_end) return Urgency::kLate;
+  if (now > GetObjectiveEnd(step)) return Urgency::kLate;
   return job.policy.priority == 0 ? Urgency::kUrgent : Urgency::kInTime;
 }
 
