Count a job as begun when a worker says so, not when a start is asked for

Callers saw: `pending` 0 and state `running` while eight jobs waited whose starts were answered 503.

Cause: StartTask set the job's phase when a start was requested, and nothing took it back. CountPending, Describe, the stored progress and inherited runs read that phase.

--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -294,7 +294,6 @@
   const std::optional<int64_t> lease_until_ms =
       this->LeaseOnWorkerClock(worker, time.now);
   this->RecordLease(worker, time.now);
-  if (job.phase == JobPhase::kQueued) job.phase = JobPhase::kRunning;
   ++this->totals.starts;
   run.start_place = GetLane(step, time.now);
   this->places.OnStartSent(*run.start_place);
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -520,6 +520,10 @@
    * worker, without the lag of this process. */
   base::Duration DelayBeyondLag(const RunState& run, base::Instant now) const;
   void ReleaseRun(RunState& run);
+  /** Notes that a worker has begun a run of the job: it has answered the start,
+   * or lists the run or its end. A start that was only asked for says nothing.
+   */
+  static void MarkBegun(JobState& job);
   void RequestStop(RunState& run, base::Instant at);
   void StopGangMembers(StepState& step, RunNumber run, base::Instant now);
   /** Handles an end of the worker's current incarnation, which is acknowledged
