Count a crash only under runs that their worker has acknowledged

Callers saw: jobs shown as `failed` of which no task had begun a run, as their worker was down when it was to start.

Cause: a start without an answer stays in the books until it is proven absent; RecordSilence and RecordCrash took it for a run that was lost with its worker, and two such "crashes alone" fail a job.

Tests: UnacknowledgedStart.IsNoCrashUnderTheTask, and AnAcknowledgedOneIs for the rule on crashes.

--- a/src/agatepass/pool/crash_evidence.cpp
+++ b/src/agatepass/pool/crash_evidence.cpp
@@ -12,6 +12,10 @@
 
 bool IsUnproven(const RunState& run) { return run.survived < ProbationOf(run); }
 
+bool IsAcknowledged(const RunState& run) {
+  return run.start_confirmed_at != base::Instant();
+}
+
 bool IsUnprovenOnWorker(const RunState& run) {
   return !run.worker_restarted && IsUnproven(run);
 }
--- a/src/agatepass/pool/crash_evidence.h
+++ b/src/agatepass/pool/crash_evidence.h
@@ -24,6 +24,10 @@
  * not known to have outlived its probation. */
 bool IsUnproven(const RunState& run);
 
+/** Whether the worker has acknowledged the run, by its answer to the start or
+ * in a list of its runs: only then can the run have crashed it. */
+bool IsAcknowledged(const RunState& run);
+
 /** Same, if the run was ordered from the worker's current incarnation. */
 bool IsUnprovenOnWorker(const RunState& run);
 
--- a/src/agatepass/pool/planner_crashes.cpp
+++ b/src/agatepass/pool/planner_crashes.cpp
@@ -21,8 +21,14 @@
 void PoolPlanner::RecordSilence(WorkerState& worker, base::Instant now) {
   if (worker.silence && !worker.silence->over) return;
   const size_t unproven_jobs = CountUnprovenJobs(worker);
+  // A start that was never acknowledged may not have reached the worker, which
+  // may have been down before: it explains nothing.
+  const bool is_explained = std::any_of(
+      worker.runs.begin(), worker.runs.end(), [](const RunState* run) {
+        return IsUnprovenOnWorker(*run) && IsAcknowledged(*run);
+      });
   worker.silence = WorkerSilence{
-      .since = now, .unexplained = unproven_jobs == 0 && !worker.leaves_at};
+      .since = now, .unexplained = !is_explained && !worker.leaves_at};
   std::map<base::JobId, std::string> queues;
   for (RunState* run : worker.runs) {
     if (run->worker_restarted) continue;
@@ -30,7 +36,7 @@
     run->alone_when_silent = unproven_jobs == 1 && IsUnproven(*run);
     if (run->step == nullptr || !run->step->job->IsOpen()) continue;
     TaskState& task = run->step->tasks[run->task.index];
-    if (!IsUnproven(*run)) continue;
+    if (!IsUnproven(*run) || !IsAcknowledged(*run)) continue;
     queues[run->task.job] = run->step->job->job.queue;
     if (task.at_risk_run >= run->run_number) continue;
     task.at_risk_run = run->run_number;
@@ -93,6 +99,14 @@
   const base::Instant silent_at = run.silent_at.value_or(time.now);
   const std::optional<base::Instant>& leaves_at = run.worker->leaves_at;
   if (leaves_at && silent_at >= *leaves_at) return;
+  if (!IsAcknowledged(run)) {
+    this->log.Add(
+        time.now, "start lost with its worker",
+        "task={} run={} worker={} note=\"never acknowledged: no crash "
+        "of the task\"",
+        ToString(run.task), run.run_number, run.worker->record.worker.value);
+    return;
+  }
   const bool unproven = IsUnproven(run);
   if (!unproven) run.step->tasks[run.task.index].proven = true;
   const size_t unexplained = this->CountUnexplainedSilences(silent_at);
