Bound the bytes of calls that wait, not only their number

What callers may see: 2,000 calls on a host and 4,000 at the planner may wait, each with a submission of up to 1 MiB, which is over the memory of a process. Found by reading, on the path of the job of many occurrences; no caller has seen it.

--- a/src/agatepass/pool/call_queue.h
+++ b/src/agatepass/pool/call_queue.h
@@ -22,7 +22,7 @@
  *
  * \code
  * if (queue.MustReject(patience, now)) return Reject(call);
- * queue.Add(call, patience, now);
+ * queue.Add(call, bytes, patience, now);
  * while (const auto taken = queue.Take(now)) {
  *   if (!taken->given_up) Handle(taken->call);
  * }
@@ -33,22 +33,26 @@
  public:
   /** Age of the oldest call from which further ones are rejected. */
   static constexpr base::Duration kMaxWait = std::chrono::milliseconds(150);
-  /** Bounds the memory that calls take. */
+  /** Bound the memory that calls take. */
   static constexpr size_t kMaxCalls = 4000;
+  static constexpr size_t kMaxBytes = size_t{16} * 1024 * 1024;
 
   /** Whether a call that arrives now is to be rejected, as it would be handled
    * too late.
    * \param patience time for which its host waits for the answer. */
   bool MustReject(base::Duration patience, base::Instant now) const {
-    return this->calls.size() >= kMaxCalls ||
+    return this->calls.size() >= kMaxCalls || this->bytes >= kMaxBytes ||
            this->OldestAge(now) > std::min(kMaxWait, patience / 2);
   }
 
   /** Records that a call was rejected. */
   void OnRejected() { ++this->rejected_count; }
 
-  void Add(Call call, base::Duration patience, base::Instant now) {
-    this->calls.push_back({std::move(call), now, now + patience});
+  /** \param call_bytes bytes that the call takes. */
+  void Add(Call call, size_t call_bytes, base::Duration patience,
+           base::Instant now) {
+    this->calls.push_back({std::move(call), call_bytes, now, now + patience});
+    this->bytes += call_bytes;
   }
 
   /** A call that was taken out. */
@@ -63,6 +67,7 @@
     if (this->calls.empty()) return std::nullopt;
     Entry& oldest = this->calls.front();
     Taken taken{std::move(oldest.call), now >= oldest.given_up_at};
+    this->bytes -= oldest.bytes;
     this->calls.pop_front();
     if (taken.given_up) ++this->given_up_count;
     return taken;
@@ -81,11 +86,13 @@
  private:
   struct Entry {
     Call call;
+    size_t bytes = 0;
     base::Instant arrived_at;
     base::Instant given_up_at;
   };
 
   std::deque<Entry> calls;
+  size_t bytes = 0;
   uint64_t rejected_count = 0;
   uint64_t given_up_count = 0;
 };
--- a/src/agatepass/pool/call_router.cpp
+++ b/src/agatepass/pool/call_router.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "agatepass/pool/memory_cost.h"
+
 namespace agatepass::pool {
 
 namespace {
@@ -32,7 +34,10 @@
 CallId CallRouter::Add(PeerCall call, base::Duration timeout,
                        base::Instant now) {
   const CallId id = this->next_call_id++;
-  if (this->calls.size() >= kMaxCalls) {
+  const size_t call_bytes =
+      call.verb == PeerVerb::kSubmit ? DefinitionCost(call.submission) : 0;
+  if (this->calls.size() >= kMaxCalls ||
+      this->bytes + call_bytes > kMaxCallBytes) {
     this->effects.emplace_back(
         AnswerCaller{id,
                      {.code = base::ResultCode::kOverloaded,
@@ -43,10 +48,18 @@
   this->calls[id] = {.request = std::move(call),
                      .arrived_at = now,
                      .deadline = now + timeout,
-                     .wait_until = now + std::min(timeout, kMaxPlannerWait)};
+                     .wait_until = now + std::min(timeout, kMaxPlannerWait),
+                     .bytes = call_bytes};
+  this->bytes += call_bytes;
   return id;
 }
 
+std::map<CallId, CallRouter::Call>::iterator CallRouter::Remove(
+    std::map<CallId, Call>::iterator call) {
+  this->bytes -= call->second.bytes;
+  return this->calls.erase(call);
+}
+
 CallRouter::Call* CallRouter::FindAttempt(CallId id, uint32_t attempt) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return nullptr;
@@ -86,7 +99,7 @@
   }
   if (answer.unexamined && call->maybe_executed) {
     this->FailCall(id, *call);
-    this->calls.erase(id);
+    this->Remove(this->calls.find(id));
     return;
   }
   if (answer.code == base::ResultCode::kStoreUnreachable &&
@@ -95,7 +108,7 @@
   } else {
     this->effects.emplace_back(AnswerCaller{id, answer});
   }
-  this->calls.erase(id);
+  this->Remove(this->calls.find(id));
 }
 
 void CallRouter::OnNoAnswer(CallId id, uint32_t attempt, bool maybe_executed,
@@ -164,12 +177,13 @@
     } else {
       this->FailCall(id, call);
     }
-    entry = this->calls.erase(entry);
+    entry = this->Remove(entry);
   }
   return std::exchange(this->effects, {});
 }
 
 std::vector<RouterEffect> CallRouter::EndAll() {
+  this->bytes = 0;
   for (auto& [id, call] : std::exchange(this->calls, {})) {
     const bool changes_nothing = call.request.verb == PeerVerb::kDescribe ||
                                  call.request.verb == PeerVerb::kCountPending;
--- a/src/agatepass/pool/call_router.h
+++ b/src/agatepass/pool/call_router.h
@@ -88,6 +88,8 @@
   /** Maximum number of queued calls, to bound memory; further calls are
    * rejected. */
   static constexpr size_t kMaxCalls = 2000;
+  /** Memory that the submissions of waiting calls may take, estimated. */
+  static constexpr size_t kMaxCallBytes = size_t{32} * 1024 * 1024;
 
   /** Queues a call.
    * \param call the call.
@@ -148,6 +150,8 @@
     bool maybe_executed = false;
     /** Latest answer of a planner that could not serve the call. */
     std::optional<CallerAnswer> last_refusal;
+    /** Memory that its submission takes, estimated. */
+    size_t bytes = 0;
   };
 
   /** Returns the call if this attempt's answer is outstanding, or nullptr. */
@@ -161,7 +165,14 @@
   /** Sends the next attempt of a call to the planner. */
   void SendToPlanner(CallId id, Call& call, base::Instant now);
 
+  /** Removes a call that is answered.
+   * \return the next one. */
+  std::map<CallId, Call>::iterator Remove(
+      std::map<CallId, Call>::iterator call);
+
   std::map<CallId, Call> calls;
+  /** Memory that all submissions take, estimated. */
+  size_t bytes = 0;
   std::optional<CurrentPlanner> planner;
   bool store_reachable = true;
   CallId next_call_id = 1;
--- a/src/agatepass/pool/tests/call_router_test.cpp
+++ b/src/agatepass/pool/tests/call_router_test.cpp
@@ -246,5 +246,25 @@
   EXPECT_EQ(this->router.size(), 0U);
 }
 
+// Guards against a few calls with large bodies that fill the memory.
+TEST_F(CallRouterTest, TheBytesOfCallsThatWaitAreBounded) {
+  PeerCall large{.verb = PeerVerb::kSubmit};
+  large.submission.steps.resize(20'000);
+  for (int i = 0; i < 100; ++i) {
+    this->router.Add(large, seconds(2), this->now);
+  }
+  const size_t waiting = this->router.size();
+  EXPECT_LT(waiting, 20U);
+  this->AdvanceFor(milliseconds(10));
+  ASSERT_EQ(this->answers.size(), 100 - waiting);
+  EXPECT_EQ(this->answers[0].code, ResultCode::kOverloaded);
+  EXPECT_GT(this->answers[0].retry_after, base::Duration(0));
+  // Calls that are answered make room.
+  this->AdvanceFor(seconds(3));
+  EXPECT_EQ(this->router.size(), 0U);
+  this->router.Add(large, seconds(2), this->now);
+  EXPECT_EQ(this->router.size(), 1U);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
