Forget when a job that has ended would be due, and take early due times as they are

A cancelled job left its next due time behind until then, and a due time near the smallest number overflowed when it was compared with the present. Tests: Occurrences.ACancelledJobTakesNothing..., ...DueTimesBeforeTheSmallestNumberAreDue.

--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -186,6 +186,7 @@
       this->places.OnQueryDone(step->advice.lane, this->input_lag, time.now);
     }
   }
+  this->ForgetAwaitedOccurrence(job);
   this->ReleaseHeld(job, job.held_bytes);
   this->open.erase(job.job.id);
   this->unwritten_jobs.Remove(job.job.id);
--- a/src/agatepass/pool/planner_occurrences.cpp
+++ b/src/agatepass/pool/planner_occurrences.cpp
@@ -66,7 +66,8 @@
       __builtin_add_overflow(job.first_due_ms, offset, &due)) {
     return std::numeric_limits<int64_t>::max();
   }
-  return due;
+  // Differences from the present do not overflow then.
+  return std::max<int64_t>(due, 0);
 }
 
 size_t JobState::FindOccurrence(uint32_t occurrence) const {
@@ -146,6 +147,11 @@
   }
 }
 
+void PoolPlanner::ForgetAwaitedOccurrence(const JobState& job) {
+  this->awaited_occurrences.erase(
+      {DueMs(job.job, job.next_occurrence), job.job.id});
+}
+
 bool PoolPlanner::MayOpenOccurrence(const JobState& job,
                                     const PlannerTime& time) const {
   const size_t cost = OccurrenceCost(job.job);
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -244,6 +244,7 @@
   job.final_ms = time.wall_ms;
   job.final_at = time.now;
   this->open.erase(job.job.id);
+  this->ForgetAwaitedOccurrence(job);
   this->MarkForTrim(job);
   this->MarkChanged(job);
   this->log.Add(time.now, "job ended",
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -208,6 +208,9 @@
   /** Returns the number of jobs that are accepted and not final. */
   size_t open_jobs() const { return this->open.size(); }
 
+  /** Returns the number of jobs with an occurrence that is not due yet. */
+  size_t awaited_jobs() const { return this->awaited_occurrences.size(); }
+
   /** Returns the bytes that jobs take in memory, estimated. */
   size_t held_memory() const { return this->held_bytes; }
 
@@ -271,6 +274,8 @@
   bool MayOpenOccurrence(const JobState& job, const PlannerTime& time) const;
   /** Notes when the job's next occurrence is due, if there is one. */
   void AwaitOccurrences(JobState& job);
+  /** Forgets when the next occurrence of a job that has ended is due. */
+  void ForgetAwaitedOccurrence(const JobState& job);
   /** Whether a job may be accepted beside what is held already. */
   bool HasMemoryFor(const Job& job) const;
   void AddHeld(JobState& job, size_t bytes);
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -268,8 +268,8 @@
   bool IsAllDone() const;
 };
 
-/** Returns the due time of an occurrence in Unix milliseconds; the largest
- * number if it is beyond that. */
+/** Returns the due time of an occurrence in Unix milliseconds: 0 if it was
+ * earlier, the largest number if it is beyond that. */
 int64_t DueMs(const Job& job, uint64_t occurrence);
 
 /** Whether a task of the step has a run that has not provably ended. */
--- a/src/agatepass/pool/tests/occurrences_test.cpp
+++ b/src/agatepass/pool/tests/occurrences_test.cpp
@@ -147,6 +147,30 @@
   EXPECT_LT(this->most_held, 2 * kFewBytes);
 }
 
+TEST_F(Occurrences, DueTimesBeforeTheSmallestNumberAreDue) {
+  this->Load();
+  this->ListAndSync();
+  this->Submit(
+      MakeTimedJob("a", 5, std::numeric_limits<int64_t>::min(), kMinuteMs));
+  this->Play(seconds(1));
+  EXPECT_EQ(this->began["a"].size(), 5U);
+}
+
+// Guards against jobs that leave something behind until they would be due.
+TEST_F(Occurrences, ACancelledJobTakesNothingForItsOccurrences) {
+  this->Load();
+  this->ListAndSync();
+  for (int i = 0; i < 50; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    this->Submit(MakeTimedJob(id, kMostTimes, kWallMs + kMinuteMs, kMinuteMs));
+    this->Play(milliseconds(50));
+    this->planner.Cancel(1'000'000, base::JobId(id), this->time);
+    this->Play(milliseconds(50));
+  }
+  EXPECT_EQ(this->planner.open_jobs(), 0U);
+  EXPECT_EQ(this->planner.awaited_jobs(), 0U);
+}
+
 // Guards against a successor that builds all again, or runs a part again.
 TEST_F(Occurrences, ASuccessorGoesOnWhereTheRecordEnds) {
   StoredJob stored{
