Look for what may be freed of a job only where its occurrences end one by one

So the planner's time, not its decisions: after each end it looked through all tasks of the steps of that job that were done, for something to free.

--- a/src/agatepass/pool/planner_occurrences.cpp
+++ b/src/agatepass/pool/planner_occurrences.cpp
@@ -203,6 +203,8 @@
 }
 
 void PoolPlanner::MarkForTrim(const JobState& job) {
+  // The only occurrence of an open job is needed as a whole.
+  if (job.IsOpen() && job.job.occurrences == 0) return;
   this->jobs_to_trim.insert(job.job.id);
 }
 
