--- a/src/agatepass/pool/job.cpp
+++ b/src/agatepass/pool/job.cpp
@@ -1,6 +1,7 @@
 #include "agatepass/pool/job.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "fmt/format.h"
 
@@ -55,6 +56,18 @@
   return work;
 }
 
+int64_t DueMs(const Job& job, uint64_t occurrence) {
+  int64_t offset = 0;
+  int64_t due = 0;
+  if (__builtin_mul_overflow(static_cast<int64_t>(occurrence), job.interval_ms,
+                             &offset) ||
+      __builtin_add_overflow(job.first_due_ms, offset, &due)) {
+    return std::numeric_limits<int64_t>::max();
+  }
+  // Differences from the present do not overflow then.
+  return std::max<int64_t>(due, 0);
+}
+
 std::string FindStructureError(const Job& job) {
   if (job.steps.empty()) return "the job has no steps";
   uint64_t tasks = 0;
--- a/src/agatepass/pool/job.h
+++ b/src/agatepass/pool/job.h
@@ -122,6 +122,10 @@
  * millicore-seconds. */
 double EstimatedWork(const Job& job);
 
+/** Returns the due time of an occurrence in Unix milliseconds: 0 if it was
+ * earlier, the largest number if it is beyond that. */
+int64_t DueMs(const Job& job, uint64_t occurrence);
+
 /** Maximum number of tasks in one occurrence of a job; larger jobs are rejected
  * as malformed. */
 inline constexpr uint64_t kMaxTasksPerOccurrence = 20'000;
--- a/src/agatepass/pool/memory_cost.cpp
+++ b/src/agatepass/pool/memory_cost.cpp
@@ -5,14 +5,14 @@
 namespace {
 
 /** What the allocator and the tables that name a job, a step or a run add. */
-constexpr size_t kJobOverhead = 512;
-constexpr size_t kStepOverhead = 256;
+constexpr size_t kJobOverheadBytes = 512;
+constexpr size_t kStepOverheadBytes = 256;
 
 }  // namespace
 
 size_t DefinitionCost(const Job& job) {
-  size_t bytes =
-      sizeof(JobState) + kJobOverhead + job.payload.size() + job.queue.size();
+  size_t bytes = sizeof(JobState) + kJobOverheadBytes + job.payload.size() +
+                 job.queue.size();
   for (const Step& step : job.steps) {
     bytes += sizeof(Step) + sizeof(base::Duration) +
              step.depends_on.size() * sizeof(uint32_t) +
@@ -25,7 +25,7 @@
 size_t OccurrenceCost(const Job& job) {
   size_t bytes = 0;
   for (const Step& step : job.steps) {
-    bytes += sizeof(StepState) + kStepOverhead +
+    bytes += sizeof(StepState) + kStepOverheadBytes +
              size_t{step.count} * sizeof(TaskState);
   }
   return bytes;
--- a/src/agatepass/pool/planner_backlog.cpp
+++ b/src/agatepass/pool/planner_backlog.cpp
@@ -23,6 +23,8 @@
 PlannerBacklog PoolPlanner::MeasureBacklog(base::Instant now) const {
   PlannerBacklog backlog{
       .open_jobs = this->open.size(),
+      .awaited_jobs = this->schedule.size(),
+      .held_bytes = this->memory.held(),
       .ready_steps = this->ready_steps,
       .start_limit = this->places.start_limit(),
       .other_start_limit = this->places.other_start_limit(),
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -61,12 +61,7 @@
                  "no such queue", time);
     return;
   }
-  if (std::string error = FindValidationError(job); !error.empty()) {
-    this->Reject(call, job, base::ResultCode::kInvalidRequest,
-                 base::Duration(0), std::move(error), time);
-    return;
-  }
-  if (std::string error = FindSizeError(job); !error.empty()) {
+  if (std::string error = FindSubmissionError(job); !error.empty()) {
     this->Reject(call, job, base::ResultCode::kInvalidRequest,
                  base::Duration(0), std::move(error), time);
     return;
@@ -83,7 +78,7 @@
                  "a task is larger than every worker", time);
     return;
   }
-  if (!this->HasMemoryFor(job)) {
+  if (!this->memory.FitsSubmission(DefinitionCost(job) + OccurrenceCost(job))) {
     this->Reject(call, job, base::ResultCode::kOverloaded, kMemoryRetryDelay,
                  "the work accepted before it leaves no memory for it", time);
     return;
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -9,18 +9,6 @@
 
 namespace {
 
-/** Period at which final jobs are removed whose retention time has passed. */
-constexpr base::Duration kRemovalPeriod = std::chrono::seconds(1);
-
-/** Period at which definitions of final jobs are compacted, and the maximum
- * number of commits for it each time. */
-constexpr base::Duration kCompactionPeriod = std::chrono::milliseconds(500);
-constexpr int kMaxCompactionCommits = 4;
-
-/** Maximum number of jobs removed at a time, so that removals do not delay
- * other writes; each takes two of the 31 entries of a commit. */
-constexpr size_t kMaxRemovalsPerCommit = 15;
-
 /** Entries of a typical write: a job's definition or its progress, with its
  * expected revision. */
 constexpr size_t kTypicalEntriesPerJob = 2;
@@ -54,12 +42,6 @@
   ranges.push_back({step.occurrence, step.step_index, index, index});
 }
 
-/** Whether a task of the job has a run that has not provably ended. */
-bool JobHasRuns(const JobState& job) {
-  return std::any_of(job.steps.begin(), job.steps.end(),
-                     [](const auto& step) { return HasRuns(*step); });
-}
-
 }  // namespace
 
 void PoolPlanner::QueueWrite(const JobState& job) {
@@ -397,76 +379,4 @@
   }
 }
 
-void PoolPlanner::CompactFinalJobs(const PlannerTime& time) {
-  if (time.now < this->next_compaction) return;
-  this->next_compaction = time.now + kCompactionPeriod;
-  if (this->store_health.IsDown()) return;
-  std::vector<base::JobId> still_running;
-  for (int i = 0; i < kMaxCompactionCommits && !this->uncompacted_jobs.empty();
-       ++i) {
-    StoreCommit commit{.id = this->next_commit_id++};
-    SentCommit sent;
-    while (!this->uncompacted_jobs.empty() &&
-           commit.CountEntries() < this->options.max_entries_per_commit) {
-      const base::JobId id = this->uncompacted_jobs.front();
-      this->uncompacted_jobs.pop_front();
-      const auto job = this->jobs.find(id);
-      if (job == this->jobs.end()) continue;
-      if (JobHasRuns(*job->second)) {
-        // A new leader needs the definition to know which resources the runs
-        // take.
-        still_running.push_back(id);
-        continue;
-      }
-      // No expected revision is needed: a final job never changes again, and
-      // its removal follows only minutes later.
-      commit.writes.push_back(
-          {.key = JobKey(id), .value = kCompactedJobRecord});
-      sent.compacted.push_back(id);
-      this->DropDefinition(*job->second);
-    }
-    if (commit.writes.empty()) break;
-    sent.sent_at = time.now;
-    this->commits.emplace(commit.id, std::move(sent));
-    this->effects.push_back(std::move(commit));
-  }
-  this->uncompacted_jobs.insert(this->uncompacted_jobs.end(),
-                                still_running.begin(), still_running.end());
-}
-
-void PoolPlanner::RemoveExpiredJobs(const PlannerTime& time) {
-  if (time.now < this->next_removal) return;
-  this->next_removal = time.now + kRemovalPeriod;
-  if (this->store_health.IsDown()) return;
-  StoreCommit commit;
-  SentCommit sent;
-  for (auto entry = this->jobs.begin(); entry != this->jobs.end();) {
-    JobState& job = *entry->second;
-    const bool keep =
-        job.IsOpen() || !job.stored || job.stored_changes < job.changes ||
-        this->being_written.contains(entry->first) ||
-        time.now < job.final_at + this->options.final_job_retention;
-    if (keep || sent.removed.size() >= kMaxRemovalsPerCommit) {
-      ++entry;
-      continue;
-    }
-    if (JobHasRuns(job)) {
-      ++entry;
-      continue;
-    }
-    this->ReleaseHeld(job, job.held_bytes);
-    commit.writes.push_back({.key = JobKey(entry->first)});
-    commit.writes.push_back({.key = ProgressKey(entry->first)});
-    sent.removed.push_back(entry->first);
-    this->unwritten_jobs.Remove(entry->first);
-    this->jobs_by_id.erase(entry->first);
-    entry = this->jobs.erase(entry);
-  }
-  if (commit.writes.empty()) return;
-  commit.id = this->next_commit_id++;
-  sent.sent_at = time.now;
-  this->commits.emplace(commit.id, std::move(sent));
-  this->effects.push_back(std::move(commit));
-}
-
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/planner_counts.h
+++ b/src/agatepass/pool/planner_counts.h
@@ -53,6 +53,10 @@
 /** Work that waits at one moment. */
 struct PlannerBacklog {
   size_t open_jobs = 0;
+  /** Jobs with an occurrence that is not due yet, or held back. */
+  size_t awaited_jobs = 0;
+  /** Bytes that accepted work takes, estimated. */
+  size_t held_bytes = 0;
   /** Ready steps in the last scheduling pass. */
   size_t ready_steps = 0;
   /** Ready steps since they became ready, by urgency. */
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -69,7 +69,10 @@
 
 PoolPlanner::PoolPlanner(const PlannerOptions& options,
                          timeline::DecisionLog& log, const PlannerTime& time)
-    : options(options), log(log), term_started_at(time.now) {
+    : options(options),
+      log(log),
+      memory(options.max_held_bytes),
+      term_started_at(time.now) {
   this->inherited_runs_expire_at = time.now +
                                    this->OnSlowestClock(options.worker_lease) +
                                    kSupersededPlannerGrace;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -25,8 +25,11 @@
 #include "agatepass/pool/advice_choice.h"
 #include "agatepass/pool/crash_watch.h"
 #include "agatepass/pool/job.h"
+#include "agatepass/pool/memory_budget.h"
 #include "agatepass/pool/messages.h"
+#include "agatepass/pool/occurrence_schedule.h"
 #include "agatepass/pool/planner_counts.h"
+#include "agatepass/pool/planner_inputs.h"
 #include "agatepass/pool/planner_options.h"
 #include "agatepass/pool/planner_places.h"
 #include "agatepass/pool/pool_state.h"
@@ -39,28 +42,6 @@
 
 namespace agatepass::pool {
 
-/** A job as the store held it at the beginning of the leadership term. */
-struct StoredJob {
-  Job job;
-  std::optional<JobProgress> progress;
-  /** Revision of the progress in the store; 0 if there is none. */
-  platform::Revision progress_revision = 0;
-};
-
-/** The stored roster of the workers that may have runs of earlier terms. */
-struct WorkerRoster {
-  std::vector<base::WorkerId> workers;
-  /** Revision of the roster in the store; 0 if there is none. */
-  platform::Revision revision = 0;
-};
-
-/** The time, passed in with each input. */
-struct PlannerTime {
-  base::Instant now;
-  /** Unix milliseconds, for due times and for times that are stored. */
-  int64_t wall_ms = 0;
-};
-
 /** Plans one pool of workers for one leadership term.
  *
  * Inputs change its state; Advance returns the effects to carry out. The
@@ -209,37 +190,14 @@
   size_t open_jobs() const { return this->open.size(); }
 
   /** Returns the number of jobs with an occurrence that is not due yet. */
-  size_t awaited_jobs() const { return this->awaited_occurrences.size(); }
+  size_t awaited_jobs() const { return this->schedule.size(); }
 
   /** Returns the bytes that jobs take in memory, estimated. */
-  size_t held_memory() const { return this->held_bytes; }
+  size_t held_memory() const { return this->memory.held(); }
 
  private:
   using RunKey = std::pair<TaskName, RunNumber>;
 
-  /** A commit in flight. */
-  struct SentCommit {
-    std::vector<base::JobId> created;
-    /** Jobs whose progress is written, each with the number of its changes that
-     * the write covers. */
-    std::vector<std::pair<base::JobId, uint64_t>> progress_written;
-    std::vector<base::JobId> removed;
-    std::vector<base::JobId> compacted;
-    /** Whether the commit writes the worker roster, and the known workers in
-     * it. */
-    bool has_roster = false;
-    std::vector<base::WorkerId> roster_workers;
-    base::Instant sent_at;
-  };
-
-  /** A worker's silence, with the queues of the jobs that had unproven runs
-   * there. */
-  struct UnblamedSilence {
-    base::WorkerId worker;
-    base::Instant at;
-    std::vector<std::string> queues;
-  };
-
   /** A worker considered for a step, with the number of tasks that fit on it.
    */
   struct Candidate {
@@ -248,6 +206,13 @@
     bool ticket_valid = true;
   };
 
+  // pool_planner.cpp
+  /** Marks tasks as succeeded that the store has recorded so. */
+  void LoadSucceeded(JobState& job, const SucceededRange& range,
+                     const PlannerTime& time);
+  void LoadProgress(JobState& job, const JobProgress& progress,
+                    const PlannerTime& time);
+
   // planner_callers.cpp
   void Answer(CallId call, base::ResultCode code, std::string detail = "");
   void Reject(CallId call, const Job& job, base::ResultCode code,
@@ -276,26 +241,25 @@
   void AwaitOccurrences(JobState& job);
   /** Forgets when the next occurrence of a job that has ended is due. */
   void ForgetAwaitedOccurrence(const JobState& job);
-  /** Whether a job may be accepted beside what is held already. */
-  bool HasMemoryFor(const Job& job) const;
   void AddHeld(JobState& job, size_t bytes);
   void ReleaseHeld(JobState& job, size_t bytes);
+
+  // planner_retention.cpp
   /** Notes that a part of the job may not be needed in memory any more. */
   void MarkForTrim(const JobState& job);
   /** Frees the steps of occurrences and jobs that have ended. */
   void TrimJobs();
   void TrimJob(JobState& job);
-  /** Frees the definition of a final job whose steps are freed. */
-  void DropDefinition(JobState& job);
   /** Ends an occurrence in memory if nothing of it is needed any more.
    * \param first its first step; the caller removes all of them.
    * \return whether it was ended. */
   bool CloseOccurrence(JobState& job, std::unique_ptr<StepState>& first);
-  /** Marks tasks as succeeded that the store has recorded so. */
-  void LoadSucceeded(JobState& job, const SucceededRange& range,
-                     const PlannerTime& time);
-  void LoadProgress(JobState& job, const JobProgress& progress,
-                    const PlannerTime& time);
+  /** Frees the definition of a final job whose steps are freed. */
+  void DropDefinition(JobState& job);
+  /** Replaces the definitions of final jobs in the store. */
+  void CompactFinalJobs(const PlannerTime& time);
+  /** Removes jobs that callers do not ask for any more. */
+  void RemoveExpiredJobs(const PlannerTime& time);
 
   // planner_load.cpp
   /** Returns whether a new job would end too late: the time after which a retry
@@ -341,8 +305,6 @@
                                const PlannerTime& time) const;
   /** Lets the worker discard the ends whose effect is stored. */
   void AcknowledgeStoredEnds(WorkerState& worker, const PlannerTime& time);
-  void CompactFinalJobs(const PlannerTime& time);
-  void RemoveExpiredJobs(const PlannerTime& time);
   void AnswerSubmitsOfUnknownOutcome(const PlannerTime& time);
 
   // planner_syncs.cpp
@@ -659,13 +621,10 @@
   /** Whether a change since the last scheduling pass may let work start. */
   bool scheduling_needed = true;
   base::Instant next_scheduling_at;
-  /** Due times, in Unix milliseconds, of the next occurrence of each job that
-   * has one that is not open. */
-  std::set<std::pair<int64_t, base::JobId>> awaited_occurrences;
+  OccurrenceSchedule schedule;
   /** Jobs of which an occurrence, or all, may have ended. */
   std::set<base::JobId> jobs_to_trim;
-  /** Bytes that all jobs hold, estimated. */
-  size_t held_bytes = 0;
+  MemoryBudget memory;
   /** Time before which no scheduling pass begins, so that passes over much
    * waiting work leave time for the other work. */
   base::Instant earliest_scheduling_at;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -268,10 +268,6 @@
   bool IsAllDone() const;
 };
 
-/** Returns the due time of an occurrence in Unix milliseconds: 0 if it was
- * earlier, the largest number if it is beyond that. */
-int64_t DueMs(const Job& job, uint64_t occurrence);
-
 /** Whether a task of the step has a run that has not provably ended. */
 bool HasRuns(const StepState& step);
 
@@ -311,6 +307,29 @@
   bool unexplained = false;
 };
 
+/** A commit in flight. */
+struct SentCommit {
+  std::vector<base::JobId> created;
+  /** Jobs whose progress is written, each with the number of its changes that
+   * the write covers. */
+  std::vector<std::pair<base::JobId, uint64_t>> progress_written;
+  std::vector<base::JobId> removed;
+  std::vector<base::JobId> compacted;
+  /** Whether the commit writes the worker roster, and the known workers in
+   * it. */
+  bool has_roster = false;
+  std::vector<base::WorkerId> roster_workers;
+  base::Instant sent_at;
+};
+
+/** A worker's silence, with the queues of the jobs that had unproven runs
+ * there. */
+struct UnblamedSilence {
+  base::WorkerId worker;
+  base::Instant at;
+  std::vector<std::string> queues;
+};
+
 /** A worker, with the state of its current incarnation. */
 struct WorkerState {
   WorkerRecord record;
--- a/src/agatepass/pool/record_codec.cpp
+++ b/src/agatepass/pool/record_codec.cpp
@@ -181,6 +181,11 @@
                      kMaxStoredBytes);
 }
 
+std::string FindSubmissionError(const Job& job) {
+  std::string error = FindValidationError(job);
+  return error.empty() ? FindSizeError(job) : error;
+}
+
 absl::StatusOr<Job> DecodeJob(std::string_view text) {
   try {
     const Json in = Json::parse(text);
@@ -216,7 +221,7 @@
   Json out = {{"phase", JobPhaseName(progress.phase)}};
   if (progress.final_ms != 0) out["final"] = progress.final_ms;
   for (const OccurrenceRange& range : progress.finished.ranges()) {
-    out["times"].push_back({range.first, range.last});
+    out["finished"].push_back({range.first, range.last});
   }
   for (const SucceededRange& range : progress.succeeded) {
     out["ok"].push_back(
@@ -240,7 +245,7 @@
     }
     progress.phase = static_cast<JobPhase>(index);
     progress.final_ms = in.value("final", int64_t{0});
-    for (const Json& entry : in.value("times", Json::array())) {
+    for (const Json& entry : in.value("finished", Json::array())) {
       progress.finished.Add(
           {entry.at(0).get<uint32_t>(), entry.at(1).get<uint32_t>()});
     }
--- a/src/agatepass/pool/record_codec.h
+++ b/src/agatepass/pool/record_codec.h
@@ -101,6 +101,10 @@
  * \return why not; empty if it can. */
 std::string FindSizeError(const Job& job);
 
+/** Checks all that a planner would reject a submitted job for, whatever its
+ * state. \return why it would; empty if it may accept it. */
+std::string FindSubmissionError(const Job& job);
+
 /** Decodes a definition. \return kInvalidRequest if it is malformed. */
 absl::StatusOr<Job> DecodeJob(std::string_view text);
 
