Close no more idle connections than must be closed

Cause: one connection over the limit closed up to sixteen that were idle, as many as are closed when the process has no descriptor left; in a stall of half a second all others are idle. Callers with an open connection had to make a new one.

Change: only the excess is closed, those idle for longest first, as the header says.

--- a/src/agatepass/base/http_server.cpp
+++ b/src/agatepass/base/http_server.cpp
@@ -286,7 +286,8 @@
 
 void HttpServer::KeepWithinLimit() {
   if (this->open_connections.size() <= this->max_connections) return;
-  if (this->CloseIdle(kClosedForDescriptors) > 0) return;
+  const size_t excess = this->open_connections.size() - this->max_connections;
+  if (this->CloseIdle(excess) > 0) return;
   ++this->pause_count;
   this->PauseAccepting(kAcceptPause);
 }
--- a/src/agatepass/base/tests/descriptor_limit_test.cpp
+++ b/src/agatepass/base/tests/descriptor_limit_test.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include "agatepass/base/http_client.h"
@@ -182,6 +183,23 @@
   EXPECT_EQ(server.connections(), 2U);
 }
 
+// Guards against a stall in which several connections become idle, and all of
+// them are closed where one would do.
+TEST_F(DescriptorLimit, AServerClosesNoMoreIdleConnectionsThanItMust) {
+  HttpServer server(this->loop, {.connections = 2}, AnswerAll());
+  ASSERT_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  for (int i = 0; i < 3; ++i) {
+    // Longer than the time after which a connection counts as idle.
+    if (i == 2) std::this_thread::sleep_for(milliseconds(600));
+    clients.push_back(
+        std::make_unique<HttpClient>(this->loop, HttpClientLimits{}));
+    EXPECT_EQ(this->Ask(*clients.back(), server.endpoint()).answer.status, 200);
+  }
+  EXPECT_EQ(server.idle_closed(), 1U);
+  EXPECT_EQ(server.connections(), 2U);
+}
+
 TEST_F(DescriptorLimit, AClientKeepsToItsNumberOfConnections) {
   std::vector<HttpResponder> held;
   HttpServer server(
