--- a/src/agatepass/pool/planner_backlog.cpp
+++ b/src/agatepass/pool/planner_backlog.cpp
@@ -6,8 +6,11 @@
 
 namespace agatepass::pool {
 
-void PoolPlanner::AddToBacklog(PlannerBacklog& backlog, const JobState& job,
-                               base::Instant now) {
+namespace {
+
+/** Adds the ready steps and queries of a job to the backlog. */
+void AddToBacklog(PlannerBacklog& backlog, const JobState& job,
+                  base::Instant now) {
   for (const auto& step : job.steps) {
     if (step->advice.in_flight) {
       backlog.queries.Add(now - step->advice.asked_at);
@@ -20,6 +23,8 @@
   }
 }
 
+}  // namespace
+
 PlannerBacklog PoolPlanner::MeasureBacklog(base::Instant now) const {
   PlannerBacklog backlog{
       .open_jobs = this->open.size(),
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -42,20 +42,8 @@
   ranges.push_back({step.occurrence, step.step_index, index, index});
 }
 
-}  // namespace
-
-void PoolPlanner::QueueWrite(const JobState& job) {
-  const bool caller_waits = !job.stored || !job.IsOpen();
-  this->unwritten_jobs.Add(job.job.id, {.is_progress = !caller_waits,
-                                        .priority = job.policy.priority});
-}
-
-void PoolPlanner::MarkChanged(JobState& job) {
-  ++job.changes;
-  this->QueueWrite(job);
-}
-
-JobProgress PoolPlanner::BuildProgress(const JobState& job) const {
+/** Returns what the store has to know of a job. */
+JobProgress BuildProgress(const JobState& job) {
   JobProgress progress;
   progress.phase = job.phase;
   progress.final_ms = job.final_ms;
@@ -83,9 +71,22 @@
   return progress;
 }
 
+}  // namespace
+
+void PoolPlanner::QueueWrite(const JobState& job) {
+  const bool caller_waits = !job.stored || !job.IsOpen();
+  this->unwritten_jobs.Add(job.job.id, {.is_progress = !caller_waits,
+                                        .priority = job.policy.priority});
+}
+
+void PoolPlanner::MarkChanged(JobState& job) {
+  ++job.changes;
+  this->QueueWrite(job);
+}
+
 std::string PoolPlanner::EncodeProgressOf(const JobState& job,
                                           const PlannerTime& time) const {
-  JobProgress progress = this->BuildProgress(job);
+  JobProgress progress = BuildProgress(job);
   std::string value = EncodeProgress(progress);
   if (value.size() <= kMaxStoredBytes) return value;
   // Work is repeated then, and nothing else is lost.
--- a/src/agatepass/pool/planner_occurrences.cpp
+++ b/src/agatepass/pool/planner_occurrences.cpp
@@ -1,9 +1,11 @@
 // Occurrences of jobs: their steps and tasks are in memory from when they are
 // due until all of their tasks have succeeded, whatever number a caller wrote.
 #include <algorithm>
-#include <limits>
-#include <span>
+#include <iterator>
+#include <memory>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "agatepass/pool/memory_cost.h"
 #include "agatepass/pool/pool_planner.h"
--- a/src/agatepass/pool/planner_retention.cpp
+++ b/src/agatepass/pool/planner_retention.cpp
@@ -1,9 +1,10 @@
 // What has ended: when it is freed in memory, compacted and removed in the
 // store.
 #include <algorithm>
-#include <iterator>
+#include <memory>
 #include <span>
 #include <utility>
+#include <vector>
 
 #include "agatepass/pool/memory_cost.h"
 #include "agatepass/pool/pool_planner.h"
@@ -15,7 +16,6 @@
 /** Period at which definitions of final jobs are compacted, and the maximum
  * number of commits for it each time. */
 constexpr base::Duration kCompactionPeriod = std::chrono::milliseconds(500);
-
 constexpr int kMaxCompactionCommits = 4;
 
 /** Period at which final jobs are removed whose retention time has passed. */
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -102,10 +102,6 @@
   this->scheduling_needed = true;
 }
 
-void PoolPlanner::MarkBegun(JobState& job) {
-  if (job.phase == JobPhase::kQueued) job.phase = JobPhase::kRunning;
-}
-
 void PoolPlanner::RequestStop(RunState& run, base::Instant at) {
   if (run.phase == RunPhase::kStopping) return;
   run.phase = RunPhase::kStopping;
@@ -159,7 +155,7 @@
   task.last_run = std::max(task.last_run, report.run);
   task.ended_run = std::max(task.ended_run, report.run);
   this->WithdrawCrash(task, report.run);
-  if (job.IsOpen()) MarkBegun(job);
+  job.MarkBegun();
   if (job.IsOpen() && !task.succeeded) {
     if (!report.checkpoint.empty()) task.checkpoint = report.checkpoint;
     this->MarkChanged(job);
@@ -293,7 +289,7 @@
     if (run->phase == RunPhase::kStartRequested)
       run->phase = RunPhase::kRunning;
     run->start_confirmed_at = time.now;
-    if (run->step != nullptr) MarkBegun(*run->step->job);
+    if (run->step != nullptr) run->step->job->MarkBegun();
     if (!may_be_former && !run->confirmed_clock_ms)
       run->confirmed_clock_ms = reply.worker_clock_ms;
     return;
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -199,7 +199,7 @@
     if (!run->confirmed_clock_ms)
       run->confirmed_clock_ms = reply.worker_clock_ms;
     run->worker_restarted = false;
-    if (run->step != nullptr) MarkBegun(*run->step->job);
+    if (run->step != nullptr) run->step->job->MarkBegun();
     this->CheckProgress(*run, report.percent, time);
     if (run->step != nullptr && !report.checkpoint.empty()) {
       run->step->tasks[report.task.index].checkpoint = report.checkpoint;
@@ -291,7 +291,7 @@
   if (this->HasTrials(*step, time.now)) this->MarkOnTrial(run);
   if (!report.checkpoint.empty())
     step->tasks[report.task.index].checkpoint = report.checkpoint;
-  MarkBegun(*step->job);
+  step->job->MarkBegun();
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -298,7 +298,6 @@
   void MarkStored(JobState& job, const PlannerTime& time);
   void QueueWrite(const JobState& job);
   void MarkChanged(JobState& job);
-  JobProgress BuildProgress(const JobState& job) const;
   /** Encodes the job's progress, without checkpoints if it would be too large
    * for the store. */
   std::string EncodeProgressOf(const JobState& job,
@@ -487,10 +486,6 @@
    * worker, without the lag of this process. */
   base::Duration DelayBeyondLag(const RunState& run, base::Instant now) const;
   void ReleaseRun(RunState& run);
-  /** Notes that a worker has begun a run of the job: it has answered the start,
-   * or lists the run or its end. A start that was only asked for says nothing.
-   */
-  static void MarkBegun(JobState& job);
   void RequestStop(RunState& run, base::Instant at);
   void StopGangMembers(StepState& step, RunNumber run, base::Instant now);
   /** Handles an end of the worker's current incarnation, which is acknowledged
@@ -521,11 +516,6 @@
   /** Returns the definition of a task's step; null if it is not known. */
   const Step* FindDefinition(const TaskName& task) const;
 
-  // planner_backlog.cpp
-  /** Adds the ready steps and queries of a job to the backlog. */
-  static void AddToBacklog(PlannerBacklog& backlog, const JobState& job,
-                           base::Instant now);
-
   // planner_placement.cpp
   void ScheduleReadySteps(const PlannerTime& time);
   /** Returns how long examining this number of workers may take, by the rate
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -256,6 +256,12 @@
 
   bool IsOpen() const { return !IsFinal(this->phase); }
 
+  /** Notes that a worker has begun a run: it has answered the start, or lists
+   * the run or its end. A start that was only asked for says nothing. */
+  void MarkBegun() {
+    if (this->phase == JobPhase::kQueued) this->phase = JobPhase::kRunning;
+  }
+
   /** Number of times that its steps run. */
   uint64_t CountOccurrences() const {
     return this->job.occurrences == 0 ? 1 : this->job.occurrences;
