Review case 6: after a planned restart, filling tasks block all other work

A planner that takes over enters the runs of filling tasks with their processors, which do not count against a worker's capacity; the workers look full.

--- a/review/standin-2/cell_world.py
+++ b/review/standin-2/cell_world.py
@@ -364,9 +364,18 @@
         log = open(os.path.join(self.work_folder, f"host-{index}.log"), "a", encoding="utf-8")
         process = subprocess.Popen([os.path.join(self.root, "target", "agatepass_cell"), "--settings", path],
                                    cwd=self.root, stdout=log, stderr=subprocess.STDOUT)
-        self.processes.append(process)
+        self.processes[index:index + 1] = [process]
         return process
 
+    def find_planner(self):
+        """Returns the index of the host whose term has begun and not ended, by its log."""
+        for index in range(len(self.hosts)):
+            with open(os.path.join(self.work_folder, f"host-{index}.log"), encoding="utf-8") as log:
+                text = log.read()
+            if text.rfind("term begins") > text.rfind("term ends"):
+                return index
+        raise RuntimeError("no host plans")
+
     async def begin(self):
         asyncio.ensure_future(self.store.run())
         asyncio.ensure_future(self.expire_entries())
@@ -402,7 +411,7 @@
             return 0, {}
 
     async def exchange(self, host, method, path, data, port):
-        reader, writer = await asyncio.open_connection(self.hosts[host], port)
+        reader, writer = await asyncio.open_connection(self.hosts[host % len(self.hosts)], port)
         try:
             writer.write(f"{method} {path} HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: 3000\r\n"
                          f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
