Review case 7: a gang that lasts and does not fit stops all other work

Cause: rule LOST (a job has nothing running while there is capacity). After the loss of one worker a gang that lasts reserves the workers again and again, on the prediction that tasks that last are about to end; nothing else of lower priority starts there.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Three crashes of single workers, seconds apart, under the runs of one task."""
+"""One worker is lost for good, and a gang that lasts fits no more."""
 import asyncio
 import os
 import sys
@@ -6,50 +6,59 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
 import cell_world  # noqa: E402
 
-ROUTES = [{"name": "r-desk", "host": "desk.example", "prefix": "/desk/", "type": "unsafe", "timeoutMs": 3000,
-           "sloMs": 3000, "priority": 2, "service": "desk", "attempts": 3, "stretch": 4.0}]
+SERVE = {"name": "r-serve", "host": "desk.example", "prefix": "/serve/", "type": "unsafe", "timeoutMs": 3000,
+         "sloMs": 3000, "priority": 1, "service": "desk", "attempts": 3, "stretch": 4.0}
+DESK = {**SERVE, "name": "r-desk", "prefix": "/desk/", "priority": 2}
 HOSTS = 3
 WORKERS = 8
-CRASHES = 3
-RUN_BEFORE_CRASH_S = 5.0
-DOWN_S = 1.0
-WATCHED_S = 40
+WORKER_CPU = 16000
+SINGLE_CPU = 6500
+MEMBER_CPU = 5000
+LEASES_LAPSED_S = 12
+# The bound `finish_s` of the site, and the 3 s of the rule.
+FINISH_S = 14
+NOTHING_RUNNING_S = 3
 
 
 async def scenario(world, trouble):
-    world.put_config(ROUTES)
+    world.put_config([SERVE, DESK])
     for number in range(WORKERS):
-        world.add_worker({"cpu": 4000, "memMb": 16000, "gpu": 0}, ["a", f"r1-{number}"])
+        world.add_worker({"cpu": WORKER_CPU, "memMb": 32000, "gpu": 0}, ["a", f"r1-{number}"])
     await world.begin()
-    crashes = []
-
-    async def crash(worker, task):
-        await asyncio.sleep(RUN_BEFORE_CRASH_S)
-        worker.crash()
-        await asyncio.sleep(DOWN_S)
-        await worker.start()
-
-    def on_start(worker, task, run):
-        if trouble and len(crashes) < CRASHES:
-            crashes.append(task)
-            asyncio.ensure_future(crash(worker, task))
-
-    world.start_hooks.append(on_start)
-    job = await world.submit("/desk/", [{"count": 1, "cpu": 2000, "memMb": 1000, "estMs": 6000, "longRunning": True}],
-                             {"workMs": 3_600_000})
-    if job is None:
-        raise RuntimeError("the job was not accepted")
-    for _ in range(WATCHED_S):
+    lasting = {"longRunning": True, "memMb": 1000, "estMs": 6000, "count": WORKERS}
+    for_ever = {"workMs": 3_600_000}
+    singles = await world.submit("/serve/", [{**lasting, "cpu": SINGLE_CPU, "maxPerServer": 1}], for_ever)
+    await asyncio.sleep(1)
+    gang = await world.submit("/serve/", [{**lasting, "cpu": MEMBER_CPU, "gang": True}], for_ever)
+    await asyncio.sleep(2)
+    if [len(worker.running) for worker in world.workers] != [2] * WORKERS:
+        raise RuntimeError("the tasks that last do not run")
+    steps = [{"count": 2, "cpu": 2000, "memMb": 1000, "estMs": 3000},
+             {"count": 2, "cpu": 2000, "memMb": 1000, "estMs": 3000, "after": [0]}]
+    first = await world.submit("/desk/", steps, {"workMs": 3000})
+    await asyncio.sleep(1)
+    if trouble:
+        world.workers[0].crash()
+        for worker in world.workers:
+            for task in list(worker.running):
+                if task.startswith(gang):
+                    worker.end(task, "broken")
+    await asyncio.sleep(LEASES_LAPSED_S)
+    later = await world.submit("/desk/", steps, {"workMs": 3000})
+    if None in (singles, gang, first, later):
+        raise RuntimeError("a job was not accepted")
+    states = {}
+    for second in range(FINISH_S + 3 * NOTHING_RUNNING_S):
         await asyncio.sleep(1)
-        status, state = await world.state("/desk/", job)
-        world.note("GET", job=job, status=status, state=state)
-        if state == "failed":
-            failed = sum(1 for end in world.ends if end[4] == "failed")
-            return (f"LOST: a job that lasts, which nobody cancelled, is shown as failed after {len(crashes)} crashes "
-                    f"of single workers; runs that ended 'failed': {failed}")
-    if status != 200 or state != "running" or not any(worker.running for worker in world.workers):
-        raise RuntimeError("the job does not run at the end")
-    return None
+        for job in (first, later):
+            status, states[job] = await world.state("/desk/", job, host=second)
+            world.note("GET", job=job, status=status, state=states[job])
+        if all(state == "done" for state in states.values()):
+            return None
+    running = sum(len(worker.running) for worker in world.workers)
+    left = WORKERS - 1
+    return (f"LOST: {FINISH_S} s and more after the last submission the jobs are {sorted(states.values())} with "
+            f"nothing running; in use: {running * SINGLE_CPU} of {left * WORKER_CPU} millicores")
 
 
 cell_world.main(os.path.dirname(os.path.abspath(__file__)), HOSTS, scenario)
--- a/review/standin-2/cell_world.py
+++ b/review/standin-2/cell_world.py
@@ -458,7 +458,7 @@
         shutil.rmtree(self.work_folder, ignore_errors=True)
 
     LOGGED = ("lost its worker", "job ended", "runs lost", "incarnation", "term begins", "term ends", "capacity",
-              "job accepted", "start requested", "absent", "cleared")
+              "job accepted", "start requested", "absent", "cleared", "reserved for gang")
 
 
 def main(folder, hosts, scenario):
