--- a/review/standin-2/cell_world.py
+++ b/review/standin-2/cell_world.py
@@ -465,6 +465,7 @@
     """Runs scenario(world, trouble); it returns None if the rule held, or what broke it."""
 
     async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         world = World(folder, hosts)
         try:
             broken = await asyncio.wait_for(scenario(world, os.environ.get("TROUBLE", "1") != "0"), 110)
@@ -479,6 +480,9 @@
         finally:
             world.end()
 
-    result = asyncio.run(run())
+    try:
+        result = asyncio.run(run())
+    except asyncio.CancelledError:
+        result = 2
     sys.stdout.flush()
     os._exit(result)
