--- a/review/standin-2/cell_world.py
+++ b/review/standin-2/cell_world.py
@@ -146,7 +146,7 @@
 
     def transact(self, body):
         expected, writes, removals = body.get("expectRev", []), body.get("writes", []), body.get("remove", [])
-        if len(expected) + len(writes) + len(removals) > 3 * MAX_TXN_ENTRIES:
+        if len(expected) + len(writes) + len(removals) > MAX_TXN_ENTRIES:
             return 400, {}
         if any(self.items.get(e["key"], {"rev": 0})["rev"] != e["rev"] for e in expected):
             return 412, {"items": [self.items[e["key"]] for e in expected if e["key"] in self.items]}
