Reserve for a gang only what will come free, for a limited time

What callers saw: a gang that lasts lost a worker and no longer fitted.

Cause: the end of a run was predicted from its estimate or its progress, also for tasks that last, so that all of them seemed to end at once. The gang got a reservation of all workers, which it renewed every 300 ms; a step that lasts is always urgent, so nothing ended this.

Change: PredictRelease says when the resources of a run come free, or that nothing tells: tasks that last, tasks without an estimate or progress. A run that is overdue is expected to take as long again as it is overdue. Reservations for one gang follow each other for 8 s at most and then pause as long. A step that has waited for 1.5 s while less than half of its service's processors are in use may use what is reserved.

The same class: a run that an earlier planner started, or that resumes from a checkpoint, was predicted to end at once, as its progress seemed to be made in no time: progress counts from the first report now. That prediction also let such runs go on for too long on a worker that drains.

--- a/src/agatepass/pool/planner_draining.cpp
+++ b/src/agatepass/pool/planner_draining.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 #include "agatepass/pool/pool_planner.h"
-#include "agatepass/pool/stall_detection.h"
+#include "agatepass/pool/run_prediction.h"
 
 namespace agatepass::pool {
 
@@ -31,10 +31,9 @@
                                        base::Instant now) const {
   const base::Instant latest_end =
       *run.worker->leaves_at - this->options.shutdown_margin;
-  if (now >= latest_end || run.step == nullptr) return false;
-  if (run.step->definition->long_running) return false;
-  return PredictEnd(run.start_requested_at, run.last_progress.at,
-                    run.last_progress.percent, run.expected_end) <= latest_end;
+  if (now >= latest_end) return false;
+  const std::optional<base::Instant> end = PredictRelease(run, now);
+  return end && *end <= latest_end;
 }
 
 void PoolPlanner::StopRunsBeforeShutdown(const PlannerTime& time) {
--- a/src/agatepass/pool/planner_gangs.cpp
+++ b/src/agatepass/pool/planner_gangs.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "agatepass/pool/pool_planner.h"
-#include "agatepass/pool/stall_detection.h"
+#include "agatepass/pool/run_prediction.h"
 #include "agatepass/pool/step_fit.h"
 #include "agatepass/pool/urgency.h"
 
@@ -31,6 +31,12 @@
 constexpr size_t kMinReservationLimit = 4;
 constexpr size_t kWorkersPerReservation = 80;
 
+/** How long reservations for one gang follow each other, and how long none is
+ * made for it then: if it could not start, the predictions were wrong, and
+ * other work gets its turn. */
+constexpr base::Duration kMaxReservedTime = std::chrono::seconds(8);
+constexpr base::Duration kReservationPause = std::chrono::seconds(8);
+
 /** Time between two attempts to reserve resources for the same gang: each
  * attempt scans all runs of its workers. */
 constexpr base::Duration kReservationRetryDelay =
@@ -41,10 +47,6 @@
 constexpr base::Duration kReservationRenewalGrace =
     std::chrono::milliseconds(300);
 
-/** Time that a stopped task may take to save its checkpoint and free its
- * resources. */
-constexpr base::Duration kExpectedStopTime = std::chrono::milliseconds(1000);
-
 /** Progress from which a run is not preempted: it ends and frees its resources
  * soon anyway. */
 constexpr int kNearlyDonePercent = 80;
@@ -232,8 +234,17 @@
     return;
   // An expired reservation is replaced here, which leaves no gap in which other
   // tasks could take its resources.
-  if (existing != this->gang_reservations.end() &&
-      time.now < existing->second.until) {
+  if (existing == this->gang_reservations.end()) {
+    step.reserved_since = time.now;
+  } else if (time.now < existing->second.until) {
+    return;
+  } else if (time.now >= step.reserved_since + kMaxReservedTime) {
+    this->log.Add(time.now, "resources not reserved again for gang",
+                  "job={} step={} reserved_ms={}", step.job->job.id.value,
+                  step.step_index,
+                  base::ToMilliseconds(time.now - step.reserved_since));
+    this->DropGangReservation(step);
+    step.next_reservation_attempt = time.now + kReservationPause;
     return;
   }
   step.next_reservation_attempt = time.now + kReservationRetryDelay;
@@ -266,10 +277,8 @@
     free_resources.push_back(workers[i]->FreeResources());
     fits += CountGangFits(step, free_resources[i]);
     for (const RunState* run : workers[i]->runs) {
-      const base::Instant end =
-          PredictEnd(run->start_requested_at, run->last_progress.at,
-                     run->last_progress.percent, run->expected_end);
-      releases.push_back({end, i, run->taken});
+      if (const auto at = PredictRelease(*run, time.now))
+        releases.push_back({*at, i, run->taken});
     }
   }
   std::sort(releases.begin(), releases.end(),
@@ -283,9 +292,8 @@
     available += release.resources;
     fits += CountGangFits(step, available);
     if (fits < step.tasks.size()) continue;
-    GangReservation reservation{
-        .step = &step,
-        .until = std::max(release.at, time.now) + kReservationMargin};
+    GangReservation reservation{.step = &step,
+                                .until = release.at + kReservationMargin};
     reservation.workers = ChooseReservedWorkers(step, workers, free_resources);
     return reservation;
   }
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -16,6 +16,12 @@
  * the ready steps by age instead of urgency. */
 constexpr uint32_t kPassesPerOldestFirst = 8;
 
+/** How long a step may be kept from what is reserved for gangs while less than
+ * half of its service's processors are in use. */
+constexpr base::Duration kMaxWaitBesideRoom = std::chrono::milliseconds(1500);
+
+/** Counts the runs of a step on a worker, also those that no job needs and that
+ * are being stopped. */
 uint32_t CountRunsOnWorker(const StepState& step, const WorkerState& worker) {
   return static_cast<uint32_t>(std::count_if(
       worker.runs.begin(), worker.runs.end(), [&step](const RunState* run) {
@@ -111,8 +117,17 @@
   return steps;
 }
 
+bool PoolPlanner::WaitsBesideRoom(const StepState& step,
+                                  const PlannerTime& time) {
+  if (!step.ready_since || time.now < *step.ready_since + kMaxWaitBesideRoom)
+    return false;
+  const ServiceLoad& load = this->FindLoad(step.job->policy.service, time);
+  return 2 * load.used_millicores < load.total_millicores;
+}
+
 void PoolPlanner::PlaceStep(StepState& step, const PlannerTime& time) {
   if (!step.job->IsOpen()) return;
+  step.waits_beside_room = this->WaitsBesideRoom(step, time);
   if (this->NeedsAdvice(step) && !step.advice.answered) {
     this->RequestMoreAdvice(step, time);
     return;
@@ -170,6 +185,7 @@
   // Urgent steps may use resources reserved for gangs; late ones may not, even
   // of the highest priority: they would take them from gangs in time.
   if (GetUrgency(step, time.now) == Urgency::kUrgent) return true;
+  if (step.waits_beside_room) return true;
   const base::Instant end = time.now + step.definition->estimate;
   return std::none_of(
       worker.gang_reservations.begin(), worker.gang_reservations.end(),
@@ -288,6 +304,8 @@
                                TakenResources(*step.definition));
   run.start_requested_at = time.now;
   run.last_progress.at = time.now;
+  if (step.tasks[index].checkpoint.empty())
+    run.first_progress = run.last_progress;
   run.expected_end = time.now + step.definition->estimate;
   const std::optional<int64_t> lease_until_ms =
       this->LeaseOnWorkerClock(worker, time.now);
--- a/src/agatepass/pool/planner_progress.cpp
+++ b/src/agatepass/pool/planner_progress.cpp
@@ -23,6 +23,7 @@
   if (verdict == ProgressVerdict::kTooEarly) return;
   if (verdict == ProgressVerdict::kProgressing) {
     run.last_progress = {percent, time.now};
+    if (!run.first_progress) run.first_progress = run.last_progress;
     return;
   }
   ++this->totals.stalled_runs_stopped;
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -16,6 +16,12 @@
  * beside its lease. */
 constexpr base::Duration kMaxGatheringTime = std::chrono::milliseconds(300);
 
+constexpr int kCompletePercent = 100;
+
+/** How far the times of day of a worker and of this host may be apart, as they
+ * may jump. */
+constexpr base::Duration kMaxWallClockError = std::chrono::seconds(10);
+
 }  // namespace
 
 void PoolPlanner::QueueSync(WorkerState& worker) {
@@ -275,7 +281,7 @@
   run.start_confirmed_at = time.now;
   run.confirmed_clock_ms = worker.clock_ms;
   run.last_progress = {report.percent, time.now};
-  // Whoever started it granted no longer lease.
+  run.first_progress = run.last_progress;
   worker.lease_expires_at =
       std::max(worker.lease_expires_at,
                time.now + this->OnSlowestClock(this->options.worker_lease));
@@ -287,7 +293,9 @@
     this->RequestStop(run, time.now);
     return;
   }
-  run.expected_end = time.now + step->definition->estimate;
+  run.expected_end = time.now + step->definition->estimate *
+                                    (kCompletePercent - report.percent) /
+                                    kCompletePercent;
   if (this->HasTrials(*step, time.now)) this->MarkOnTrial(run);
   if (!report.checkpoint.empty())
     step->tasks[report.task.index].checkpoint = report.checkpoint;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -523,6 +523,9 @@
   base::Duration TimeToExamine(double workers) const;
   bool IsReady(const StepState& step, const PlannerTime& time) const;
   std::vector<StepState*> CollectReadySteps(const PlannerTime& time);
+  /** Whether the step has waited for a while although less than half of its
+   * service's processors are in use. */
+  bool WaitsBesideRoom(const StepState& step, const PlannerTime& time);
   void PlaceStep(StepState& step, const PlannerTime& time);
   std::vector<Candidate> FindCandidates(StepState& step,
                                         const PlannerTime& time);
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -43,9 +43,7 @@
   kStopping,
 };
 
-/** The latest rise of a run's progress, or the latest report of 100 percent.
- * Before the first one: 0 percent at the start request or, for a run that the
- * planner learned of from a worker, the progress in that report. */
+/** Progress of a run at a time. */
 struct ProgressPoint {
   int percent = 0;
   base::Instant at;
@@ -92,6 +90,12 @@
    * there were of this run's job. */
   std::optional<base::Instant> silent_at;
   bool alone_when_silent = false;
+  /** Where the progress that this planner has seen begins: 0 percent at the
+   * start request or, for a run that resumes from a checkpoint or that the
+   * planner learned of from a worker, the progress in the first report. */
+  std::optional<ProgressPoint> first_progress;
+  /** The latest rise of the progress, or the latest report of 100 percent;
+   * before that 0 percent at the start request. */
   ProgressPoint last_progress;
 };
 
@@ -203,10 +207,15 @@
    * its tasks waits. */
   std::optional<base::Instant> ready_since;
   StepWait wait;
+  /** Whether it has waited for a while although less than half of its service's
+   * processors are in use: then nothing is kept from it. */
+  bool waits_beside_room = false;
   std::vector<TicketReservation> ticket_reservations;
   base::Instant ticket_reservations_until;
   /** Of a gang: when the next reservation may be attempted. */
   base::Instant next_reservation_attempt;
+  /** Of a gang: when the reservations that follow each other began. */
+  base::Instant reserved_since;
   /** Of a gang: numbers of the gang's failed runs. */
   std::vector<RunNumber> failed_runs;
 
--- a/src/agatepass/pool/stall_detection.cpp
+++ b/src/agatepass/pool/stall_detection.cpp
@@ -16,18 +16,8 @@
 
 constexpr int kCompletePercent = 100;
 
-/** Progress from which the end of a run is predicted better by its progress
- * than by the caller's estimate. */
-constexpr int kMinReliablePercent = 15;
-
 }  // namespace
 
-base::Instant PredictEnd(base::Instant started_at, base::Instant sampled_at,
-                         int percent, base::Instant estimated_end) {
-  if (percent < kMinReliablePercent) return estimated_end;
-  return started_at + (sampled_at - started_at) * kCompletePercent / percent;
-}
-
 ProgressVerdict JudgeProgressSample(const ProgressSample& sample) {
   // A gang member that has completed its work waits for the others.
   if (sample.percent >= kCompletePercent ||
--- a/src/agatepass/pool/stall_detection.h
+++ b/src/agatepass/pool/stall_detection.h
@@ -31,15 +31,6 @@
   kStalled,
 };
 
-/** Predicts when a run ends, from its progress.
- * \param started_at when the run was ordered.
- * \param sampled_at when its progress was `percent`.
- * \param percent its progress, 0 to 100.
- * \param estimated_end its end by the caller's estimate, which is returned
- *     while the progress is too small for a prediction. */
-base::Instant PredictEnd(base::Instant started_at, base::Instant sampled_at,
-                         int percent, base::Instant estimated_end);
-
 /** Judges whether a run made progress over a period. */
 ProgressVerdict JudgeProgressSample(const ProgressSample& sample);
 
--- a/src/agatepass/pool/tests/stall_detection_test.cpp
+++ b/src/agatepass/pool/tests/stall_detection_test.cpp
@@ -44,16 +44,5 @@
       ProgressVerdict::kTooEarly);
 }
 
-TEST(StallDetection, PredictsTheEndFromProgressInsteadOfTheEstimate) {
-  const base::Instant started_at{std::chrono::seconds(100)};
-  const base::Instant sampled_at = started_at + std::chrono::seconds(3);
-  const base::Instant estimated_end = started_at + std::chrono::seconds(4);
-  EXPECT_EQ(PredictEnd(started_at, sampled_at, 0, estimated_end),
-            estimated_end);
-  EXPECT_EQ(PredictEnd(started_at, sampled_at, 30, estimated_end),
-            started_at + std::chrono::seconds(10));
-  EXPECT_EQ(PredictEnd(started_at, sampled_at, 100, estimated_end), sampled_at);
-}
-
 }  // namespace
 }  // namespace agatepass::pool
