Keep the worker of a trial free of other work for a second at most

What callers saw: the only worker of a kind crashed twice under a service that ran there.

Change: the trial, in which the worker takes no other work, and the probation, in which a crash counts against the task, are two spans. A trial lasts kMaxTrialTime (1 s) at most, a probation kMaxProbation (60 s). Trials of other tasks are no longer kept off a worker by a run that is only watched. A planner that finds runs of a step with a suspect puts only the suspect on trial, not its siblings.

Why it works: what has to be exclusive is the moment after the start, in which a task that crashes its workers does so; the verdict on late crashes needs the long watch alone, which costs nobody.

--- a/src/agatepass/pool/crash_evidence.cpp
+++ b/src/agatepass/pool/crash_evidence.cpp
@@ -2,12 +2,26 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 
 namespace agatepass::pool {
 
+namespace {
+
+/** Returns the crashes under the run's task; none if no job needs the run. */
+std::span<const CrashedRun> CrashesUnderTask(const RunState& run) {
+  if (run.step == nullptr) return {};
+  return run.step->tasks[run.task.index].crashed_runs;
+}
+
+}  // namespace
+
 base::Duration ProbationOf(const RunState& run) {
-  if (run.step == nullptr) return kProbation;
-  return FindProbation(run.step->tasks[run.task.index].crashed_runs);
+  return FindProbation(CrashesUnderTask(run));
+}
+
+base::Duration TrialTimeOf(const RunState& run) {
+  return FindTrialTime(CrashesUnderTask(run));
 }
 
 bool IsUnproven(const RunState& run) { return run.survived < ProbationOf(run); }
@@ -34,6 +48,13 @@
       [](const RunState* run) { return IsUnprovenOnWorker(*run); });
 }
 
+bool HasFreshRuns(const WorkerState& worker) {
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(), [](const RunState* run) {
+        return !run->worker_restarted && run->survived < TrialTimeOf(*run);
+      });
+}
+
 void RecordSurvival(WorkerState& worker, int64_t clock_ms) {
   for (RunState* run : worker.runs) {
     if (!run->confirmed_clock_ms) continue;
--- a/src/agatepass/pool/crash_evidence.h
+++ b/src/agatepass/pool/crash_evidence.h
@@ -20,6 +20,10 @@
  * harmless. */
 base::Duration ProbationOf(const RunState& run);
 
+/** Returns how long the worker must outlive the start for other work to start
+ * beside the run if that is a trial. */
+base::Duration TrialTimeOf(const RunState& run);
+
 /** Whether the run may be the cause if its worker is lost now: the worker is
  * not known to have outlived its probation. */
 bool IsUnproven(const RunState& run);
@@ -37,6 +41,10 @@
 /** Whether any run on the worker is unproven. */
 bool HasUnprovenRuns(const WorkerState& worker);
 
+/** Whether any run on the worker began so lately that the time of its trial, if
+ * it is one, is not over. */
+bool HasFreshRuns(const WorkerState& worker);
+
 /** Records a reading of the worker's clock: its runs have lived until then. */
 void RecordSurvival(WorkerState& worker, int64_t clock_ms);
 
--- a/src/agatepass/pool/crash_history.cpp
+++ b/src/agatepass/pool/crash_history.cpp
@@ -48,7 +48,11 @@
     if (IsLate(crash))
       probation = std::max(probation, crash.survived + kMaxUnseenLife);
   }
-  return probation;
+  return std::min(probation, kMaxProbation);
+}
+
+base::Duration FindTrialTime(std::span<const CrashedRun> crashes) {
+  return std::min(FindProbation(crashes), kMaxTrialTime);
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/crash_history.h
+++ b/src/agatepass/pool/crash_history.h
@@ -39,6 +39,14 @@
  * its worker. */
 inline constexpr base::Duration kProbation = std::chrono::milliseconds(250);
 
+/** Longest time after its start for which a run may count as the cause of a
+ * crash, however long the workers lived before. */
+inline constexpr base::Duration kMaxProbation = std::chrono::seconds(60);
+
+/** Longest time for which the worker of a trial takes no other work: work that
+ * needs this worker waits for it. */
+inline constexpr base::Duration kMaxTrialTime = std::chrono::seconds(1);
+
 /** Number of crashes with no other explanation after which a task is given up.
  */
 inline constexpr size_t kMaxCrashesAlone = 2;
@@ -68,9 +76,13 @@
 CrashVerdict JudgeCrashes(std::span<const CrashedRun> crashes);
 
 /** Returns how long a worker must outlive the start of the task's next run to
- * clear the task: longer than its workers lived before. */
+ * clear the task: longer than its workers lived before, up to kMaxProbation. */
 base::Duration FindProbation(std::span<const CrashedRun> crashes);
 
+/** Returns how long the worker of a trial takes no other work: at most for
+ * kMaxTrialTime of the probation. */
+base::Duration FindTrialTime(std::span<const CrashedRun> crashes);
+
 }  // namespace agatepass::pool
 
 #endif  // AGATEPASS_POOL_CRASH_HISTORY_H_
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -94,7 +94,7 @@
     if (!task.succeeded) ++run.step->waiting;
     this->MarkForTrim(*run.step->job);
   }
-  this->EndTrial(run);
+  this->EndProbation(run);
   if (run.start_place) this->places.OnStartForgotten(*run.start_place);
   const RunKey key(run.task, run.run_number);
   this->stopping_runs.erase(key);
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -296,7 +296,11 @@
   run.expected_end = time.now + step->definition->estimate *
                                     (kCompletePercent - report.percent) /
                                     kCompletePercent;
-  if (this->HasTrials(*step, time.now)) this->MarkOnTrial(run);
+  const bool on_trial =
+      step->definition->gang
+          ? this->HasTrials(*step, time.now)
+          : this->NeedsTrial(*step, step->tasks[report.task.index], time.now);
+  if (on_trial) this->MarkOnTrial(run);
   if (!report.checkpoint.empty())
     step->tasks[report.task.index].checkpoint = report.checkpoint;
   step->job->MarkBegun();
--- a/src/agatepass/pool/planner_trials.cpp
+++ b/src/agatepass/pool/planner_trials.cpp
@@ -1,6 +1,7 @@
 // Trials: a task under which workers have crashed is started where it does the
 // least harm and where nothing else would explain another crash. The worker
-// takes no other work until it has outlived the start for a while.
+// takes no other work for a short time; the task is cleared once its worker has
+// outlived the start for longer than its workers did before.
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -120,32 +121,36 @@
   ++run.worker->trials;
   run.worker->last_trial_at = run.start_requested_at;
   ++this->totals.trials;
-  this->trial_runs.emplace(run.task, run.run_number);
+  this->runs_on_probation.emplace(run.task, run.run_number);
 }
 
 void PoolPlanner::EndTrial(RunState& run) {
   if (!std::exchange(run.on_trial, false)) return;
   --run.worker->trials;
-  this->trial_runs.erase({run.task, run.run_number});
   this->scheduling_needed = true;
 }
 
+void PoolPlanner::EndProbation(RunState& run) {
+  this->EndTrial(run);
+  this->runs_on_probation.erase({run.task, run.run_number});
+}
+
 void PoolPlanner::CheckTrials(const PlannerTime& time) {
-  const std::set<RunKey> on_trial = this->trial_runs;
-  for (const auto& [task, number] : on_trial) {
+  const std::set<RunKey> on_probation = this->runs_on_probation;
+  for (const auto& [task, number] : on_probation) {
     RunState& run = *this->FindRun(task, number);
+    if (run.survived >= TrialTimeOf(run)) this->EndTrial(run);
     if (!IsUnproven(run)) {
-      this->EndTrial(run);
+      this->EndProbation(run);
       if (run.step == nullptr) continue;
       this->ClearSuspicion(*run.step, task.index, number,
                            "its worker outlived the start", time);
       continue;
     }
     if (!run.confirmed_clock_ms || time.now < run.next_trial_check) continue;
-    if (time.now <
-        run.start_confirmed_at + ProbationOf(run) + kTrialCheckDelay) {
-      continue;
-    }
+    const base::Duration needed =
+        run.on_trial ? TrialTimeOf(run) : ProbationOf(run);
+    if (time.now < run.start_confirmed_at + needed + kTrialCheckDelay) continue;
     run.next_trial_check = time.now + kTrialCheckPeriod;
     run.worker->quick_sync_wanted = true;
     this->QueueSync(*run.worker);
@@ -170,8 +175,10 @@
     best = &candidate;
     best_rank = rank;
   }
+  if (best == nullptr) return nullptr;
+  // A run that is watched for long delays nobody else's trial.
+  if (!waiting_since) return HasFreshRuns(*best->worker) ? nullptr : best;
   const bool has_unproven = std::get<0>(best_rank);
-  if (!waiting_since) return has_unproven ? nullptr : best;
   const bool is_harmless = !has_unproven && std::get<4>(best_rank) == 0;
   if (!is_harmless && now < *waiting_since + kMaxWaitForHarmlessWorker) {
     return nullptr;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -432,9 +432,12 @@
   /** Same, for all suspected members of a gang. */
   bool IsGangTrialRecorded(StepState& step, RunNumber run);
   void MarkOnTrial(RunState& run);
+  /** Lets other work start on the worker of a trial. */
   void EndTrial(RunState& run);
-  /** Ends the trials that have outlived their probation, and asks the workers
-   * of the others. */
+  /** Same, and stops watching whether the run's worker outlives its start. */
+  void EndProbation(RunState& run);
+  /** Ends the trials and probations whose time is over, and asks the workers of
+   * the others. */
   void CheckTrials(const PlannerTime& time);
   /** Starts tasks of a step that need a trial, all on one worker, where they do
    * the least harm. */
@@ -666,7 +669,9 @@
   std::map<base::ServiceId, ServiceLoad> loads;
   absl::flat_hash_map<RunKey, std::unique_ptr<RunState>> runs;
   std::set<RunKey> stopping_runs;
-  std::set<RunKey> trial_runs;
+  /** Runs that began as a trial and whose workers have not outlived their
+   * probation. */
+  std::set<RunKey> runs_on_probation;
   /** Tasks whose run at risk of an earlier term is not accounted for. */
   std::vector<TaskName> inherited_risks;
   CrashWatch crash_watch;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -82,7 +82,8 @@
   base::Duration survived{0};
   /** Whether the worker has restarted since the start request. */
   bool worker_restarted = false;
-  /** Whether it is a trial of a suspected task, or of a gang that has one. */
+  /** Whether it is a trial of a suspected task, or of a gang that has one: its
+   * worker takes no other work. */
   bool on_trial = false;
   /** When the next sync may be sent to learn the outcome of the trial. */
   base::Instant next_trial_check;
--- a/src/agatepass/pool/tests/crash_history_test.cpp
+++ b/src/agatepass/pool/tests/crash_history_test.cpp
@@ -55,5 +55,15 @@
   EXPECT_GT(FindProbation(late), seconds(2));
 }
 
+// Guards against suspicion that lasts as long as a service once ran.
+TEST(CrashHistory, ProbationAndTrialAreBoundedHoweverLongTheWorkersLived) {
+  const std::vector<CrashedRun> day = {
+      {.run = 1, .survived = std::chrono::hours(24)},
+      {.run = 2, .survived = seconds(5)}};
+  EXPECT_EQ(FindProbation(day), kMaxProbation);
+  EXPECT_EQ(FindTrialTime(day), kMaxTrialTime);
+  EXPECT_EQ(FindTrialTime(EarlyCrashes({true})), kProbation);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
