Call each incarnation of a worker under a fence of its own

Cause: calls that were meant for the former life of a worker are carried out by the next one, and nothing in them tells the two apart. A sync names a deadline on the former clock; if that lies ahead, the new life takes a lease of 10 s, 3.4 s longer than the planner believes in. Its acknowledgement makes the new life forget ends that nobody has read. A late start begins a run there. The planner began to start work on the answer to a sync that it had sent to the former life.

Change: fences of calls to workers are the term's revision times 2^20 plus the number of lives that the planner has seen end. A life that is found is called under its new fence first, at once, and gets no start before it has answered that: from then on it refuses all calls to former lives. From that answer on its lease is believed for the longest that a worker grants; a successor tells such a life by its start time. An unanswered start to a worker that the store lists and that does not answer is believed to run for as long as any of its lives may have begun it late. A refusal for its fence of a call to a former life does not end the term, and unanswered calls to it are not held against the next one. This takes the place of the stops that were sent to the next life for each start without an answer, which did nothing against syncs.

Tests: in the stand-in the clock of a worker now starts anew with each life, leases are bounded, and late syncs and starts reach whichever life is there. A start that a former life would have refused is left out as long as no planner can know of the next one: nothing can prevent that.

Tried and left: telling a young life by its clock.

--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -35,6 +35,9 @@
 struct PoolFaults {
   /** Share of the start requests that get no answer and are executed late. */
   double late_start_share = 0;
+  /** Share of the syncs that wait at a worker as it crashes which its next
+   * incarnation carries out, within 3 s. */
+  double late_sync_share = 0;
   /** Share of the commits that are applied but get no answer. */
   double lost_commit_reply_share = 0;
   /** Whether commits fail before they are sent. Reads still succeed. */
@@ -200,7 +203,11 @@
   void ExecuteAdvice(PlannerProcess& planner, const pool::AdviceQuery& query);
   void ExecuteCommit(PlannerProcess& planner, const pool::StoreCommit& commit);
   void AnswerSync(const OpenSync& sync);
+  /** Has a worker carry out a sync late, without an answer. */
+  void ExecuteSyncLate(const pool::SyncRequest& request);
   void AnswerDueSyncs();
+  /** Returns the worker, or nullptr while it is down. */
+  PoolWorker* FindRunningWorker(const base::WorkerId& id);
   /** Returns the worker, or nullptr if this planner cannot reach it. */
   PoolWorker* FindReachableWorker(const PlannerProcess& planner,
                                   const base::WorkerId& worker);
--- a/fakes/pool_cell_links.cpp
+++ b/fakes/pool_cell_links.cpp
@@ -30,6 +30,10 @@
                                           const base::WorkerId& id) {
   if (this->faults.unreachable_workers.contains(id)) return nullptr;
   if (this->FindCutOff(planner).workers.contains(id)) return nullptr;
+  return this->FindRunningWorker(id);
+}
+
+PoolWorker* PoolCell::FindRunningWorker(const base::WorkerId& id) {
   if (this->restarting_workers.contains(id)) return nullptr;
   if (this->shut_down_workers.contains(id)) return nullptr;
   for (const auto& worker : this->workers) {
--- a/fakes/pool_worker.h
+++ b/fakes/pool_worker.h
@@ -80,6 +80,12 @@
    * \param started_at_ms start time that identifies the new incarnation. */
   void Crash(int64_t started_at_ms);
 
+  /** Whether a former incarnation would have refused the start, as it saw a
+   * higher fence or the end or a stop of the run, and no planner can know of
+   * the current incarnation yet. It would carry out the start, and no planner
+   * could prevent that. */
+  bool WasRefusedBefore(const pool::StartRequest& request) const;
+
   bool IsRunning(const pool::TaskName& task) const;
   /** Numbers of the current runs, including those that are being stopped. */
   const std::map<pool::TaskName, pool::RunNumber> GetRuns() const;
@@ -93,6 +99,8 @@
   base::Duration stop_duration = std::chrono::milliseconds(300);
   /** Whether its runs make no progress. */
   bool runs_stall = false;
+  /** Whether its current incarnation has answered a sync of a planner. */
+  bool has_answered = false;
 
  private:
   struct Run {
@@ -111,7 +119,9 @@
     bool lease_expired = false;
   };
 
+  /** Its clock, which starts anew with each incarnation. */
   int64_t ClockMs(base::Instant now) const;
+  void ExtendLease(int64_t until_ms, base::Instant now);
   /** Progress of a run in percent, as reported to the planner. */
   static int ProgressPercent(const Run& run, base::Instant now);
   void DropAcknowledgedEnds(uint64_t up_to);
@@ -121,6 +131,8 @@
   bool IsFenced(pool::Fence fence);
 
   Callbacks callbacks;
+  /** When its incarnation started; its first one with the simulation. */
+  base::Instant born_at;
   pool::Fence highest_fence = 0;
   int64_t lease_until_ms = 0;
   /** Sequence number of the latest end. */
@@ -129,6 +141,10 @@
   /** For each task, the highest number of a run that was stopped or has ended
    * here. A start with this or a lower number is stale. */
   std::map<pool::TaskName, pool::RunNumber> highest_stale_run;
+  /** Highest fence that a former incarnation has seen. */
+  pool::Fence former_highest_fence = 0;
+  /** Same as highest_stale_run, of all former incarnations. */
+  std::map<pool::TaskName, pool::RunNumber> former_stale_run;
   std::vector<UnacknowledgedEnd> unacknowledged_ends;
   base::Instant advanced_at;
 };
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -23,9 +23,9 @@
 
 namespace agatepass::pool {
 
-/** Fencing token of a planner: the revision of its key in the store at the
- * beginning of its term. A worker does nothing for a planner with a lower
- * fence than the highest that it has seen. */
+/** Fencing token: of a term, the revision of the planner's key in the store at
+ * its beginning; of a call to a worker, see worker_fence.h. A worker does
+ * nothing for a call with a lower fence than the highest that it has seen. */
 using Fence = uint64_t;
 
 /** Identifies a call of a caller to the planner until it is answered. */
--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -19,6 +19,8 @@
    * takeover by another planner; the tasks of a lost worker are not restarted
    * before it has expired. */
   base::Duration worker_lease = std::chrono::milliseconds(6500);
+  /** Longest lease that a worker grants, whatever is asked for. */
+  base::Duration max_worker_lease = std::chrono::seconds(10);
   /** Minimum rate of a worker's clock, relative to the planner's clock. */
   double min_clock_rate = 0.98;
   /** Longest time that a worker takes to stop a run. */
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -303,6 +303,7 @@
   RunState& run = this->AddRun(name, number, worker, &step,
                                TakenResources(*step.definition));
   run.start_requested_at = time.now;
+  run.fence = worker.fence;
   run.last_progress.at = time.now;
   if (step.tasks[index].checkpoint.empty())
     run.first_progress = run.last_progress;
@@ -324,7 +325,7 @@
                    .endpoint = worker.record.endpoint,
                    .task = name,
                    .run = number,
-                   .fence = this->options.fence,
+                   .fence = worker.fence,
                    .payload = job.job.payload,
                    .checkpoint = step.tasks[index].checkpoint,
                    .ticket = this->FindTicket(step, worker),
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -15,8 +15,6 @@
 /** How often a call waits for the event loop until its answer is read. */
 constexpr int kLagsPerCall = 4;
 
-/** Time within which a start without an answer may be carried out late. */
-constexpr base::Duration kMaxStartDelay = std::chrono::seconds(15);
 
 }  // namespace
 
@@ -268,10 +266,6 @@
 void PoolPlanner::OnStart(const TaskName& task, RunNumber number,
                           const StartStopReply& reply,
                           const PlannerTime& time) {
-  if (reply.result == WorkerCallResult::kFenced) {
-    this->EndLeadership("a worker has seen a higher fence");
-    return;
-  }
   RunState* run = this->FindRun(task, number);
   this->scheduling_needed = true;
   if (run == nullptr) return;
@@ -280,17 +274,20 @@
                              this->input_lag, time.now);
   }
   WorkerState& worker = *run->worker;
-  const bool may_be_former =
-      worker.MayConcernFormerIncarnation(run->start_requested_at);
-  if (reply.worker_clock_ms && !may_be_former) {
+  if (reply.result == WorkerCallResult::kFenced)
+    this->HandleFenced(worker.record.worker, run->fence, time);
+  if (this->superseded) return;
+  // Any incarnation may have answered; the next sync shows what the current one
+  // has of the run.
+  if (worker.WasForFormerIncarnation(run->fence)) return;
+  if (reply.worker_clock_ms)
     this->RecordAnswer(worker, *reply.worker_clock_ms, time.now);
-  }
   if (reply.result == WorkerCallResult::kDone) {
     if (run->phase == RunPhase::kStartRequested)
       run->phase = RunPhase::kRunning;
     run->start_confirmed_at = time.now;
     if (run->step != nullptr) run->step->job->MarkBegun();
-    if (!may_be_former && !run->confirmed_clock_ms)
+    if (!run->confirmed_clock_ms)
       run->confirmed_clock_ms = reply.worker_clock_ms;
     return;
   }
@@ -303,11 +300,6 @@
   if (reply.result == WorkerCallResult::kUnknown) {
     ++this->totals.starts_outcome_unknown;
     this->RecordUnansweredCall(worker, time);
-    std::erase_if(worker.unanswered_starts,
-                  [&time](const UnansweredStart& start) {
-                    return start.sent_at + kMaxStartDelay < time.now;
-                  });
-    worker.unanswered_starts.push_back({task, number, run->start_requested_at});
     // The stop makes the worker reject the start if it arrives later.
     this->RequestStop(*run, time.now);
     if (run->step != nullptr && run->step->definition->gang) {
@@ -327,7 +319,6 @@
       }
       break;
     case WorkerCallResult::kOtherIncarnation:
-      if (may_be_former) break;
       this->EndIncarnation(worker, time);
       return;
     case WorkerCallResult::kNotSent:
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "agatepass/pool/pool_planner.h"
+#include "agatepass/pool/worker_fence.h"
 
 namespace agatepass::pool {
 
@@ -65,7 +66,7 @@
                            const PlannerTime& time) {
   SyncRequest request{.worker = worker.record.worker,
                       .endpoint = worker.record.endpoint,
-                      .fence = this->options.fence,
+                      .fence = worker.fence,
                       .sent_at = time.now};
   // Another incarnation may answer, whose ends have not been read. An
   // acknowledgement that was answered is not repeated, as a sync that a restart
@@ -91,8 +92,11 @@
                                    const SyncRequest& request,
                                    WorkerCallResult result,
                                    const PlannerTime& time) {
-  if (result == WorkerCallResult::kOtherIncarnation &&
-      !worker.MayConcernFormerIncarnation(request.sent_at)) {
+  if (worker.WasForFormerIncarnation(request.fence)) {
+    worker.next_sync = time.now;
+    return;
+  }
+  if (result == WorkerCallResult::kOtherIncarnation) {
     this->EndIncarnation(worker, time);
   } else if (result != WorkerCallResult::kNotTried) {
     this->RecordUnansweredCall(worker, time);
@@ -102,10 +106,9 @@
 
 void PoolPlanner::OnSync(const SyncRequest& request, const SyncReply& reply,
                          const PlannerTime& time) {
-  if (reply.result == WorkerCallResult::kFenced) {
-    this->EndLeadership("a worker has seen a higher fence");
-    return;
-  }
+  if (reply.result == WorkerCallResult::kFenced)
+    this->HandleFenced(request.worker, request.fence, time);
+  if (this->superseded) return;
   const auto found = this->workers.find(request.worker);
   if (found == this->workers.end()) return;
   WorkerState& worker = *found->second;
@@ -117,16 +120,22 @@
     this->HandleFailedSync(worker, request, reply.result, time);
     return;
   }
-  const bool may_be_former =
-      worker.MayConcernFormerIncarnation(request.sent_at);
+  if (worker.WasForFormerIncarnation(request.fence)) {
+    // Whichever incarnation answers: the current one is asked again, under its
+    // own fence.
+    this->HandleFormerIncarnation(worker, reply, time);
+    return;
+  }
   if (reply.started_at_ms != worker.started_at_ms) {
-    if (may_be_former) {
-      this->HandleFormerIncarnation(worker, reply, time);
+    if (worker.started_at_ms != 0) {
+      // It has carried out a call that was meant for its former incarnation,
+      // and may get more of them until it has seen its own fence.
+      this->ForgetIncarnation(worker, time);
+      worker.started_at_ms = reply.started_at_ms;
       return;
     }
-    if (worker.started_at_ms != 0) this->ForgetIncarnation(worker, time);
     worker.started_at_ms = reply.started_at_ms;
-  } else if (!may_be_former) {
+  } else {
     worker.last_acknowledged_end =
         std::max(worker.last_acknowledged_end, request.acknowledged_up_to);
     worker.silence.reset();
@@ -134,13 +143,14 @@
   this->RecordAnswer(worker, reply.worker_clock_ms, time.now);
   worker.may_have_restarted = false;
   if (!std::exchange(worker.synced, true)) {
-    // The fence of this sync ends renewals by earlier planners.
-    worker.lease_expires_at =
-        std::min(worker.lease_expires_at,
-                 time.now + this->OnSlowestClock(this->options.worker_lease));
-    this->log.Add(time.now, "worker synced", "worker={} running={} ended={}",
+    this->BoundInheritedLease(worker, time);
+    this->log.Add(time.now, "worker synced",
+                  "worker={} running={} ended={} started_at_ms={} clock_ms={} "
+                  "fence={} lease_expires_ms={}",
                   request.worker.value, reply.running.size(),
-                  reply.ended.size());
+                  reply.ended.size(), reply.started_at_ms,
+                  reply.worker_clock_ms, request.fence,
+                  base::ToMilliseconds(worker.lease_expires_at - time.now));
   }
   for (const ReportedEnd& report : reply.ended) {
     if (report.sequence_number > worker.last_handled_end)
@@ -171,6 +181,27 @@
   this->scheduling_needed = true;
 }
 
+void PoolPlanner::BoundInheritedLease(WorkerState& worker,
+                                      const PlannerTime& time) {
+  // The fence of this sync ends renewals by earlier planners and by calls that
+  // were meant for a former incarnation. Such a call names a time on the former
+  // clock. If that lies ahead of the current one, the lease is the longest that
+  // a worker grants.
+  const base::Duration age =
+      std::chrono::milliseconds(time.wall_ms - worker.started_at_ms);
+  const bool may_have_former_lease =
+      worker.former_incarnations > 0 ||
+      age < kMaxCallDelay + this->options.max_worker_lease + kMaxWallClockError;
+  const base::Duration lease = may_have_former_lease
+                                   ? this->options.max_worker_lease
+                                   : this->options.worker_lease;
+  worker.inherited_lease_until = time.now + this->OnSlowestClock(lease);
+  worker.lease_expires_at =
+      may_have_former_lease
+          ? worker.inherited_lease_until
+          : std::min(worker.lease_expires_at, worker.inherited_lease_until);
+}
+
 void PoolPlanner::HandleFormerIncarnation(WorkerState& worker,
                                           const SyncReply& reply,
                                           const PlannerTime& time) {
@@ -231,7 +262,9 @@
         run->stop_confirmed_at && *run->stop_confirmed_at < sent_at;
     const bool vanished =
         run->phase == RunPhase::kRunning && run->start_confirmed_at < sent_at;
-    if (stopped || vanished) missing.push_back(run);
+    // The worker refuses its start from now on.
+    const bool was_for_former = worker.WasForFormerIncarnation(run->fence);
+    if (stopped || vanished || was_for_former) missing.push_back(run);
   }
   for (RunState* run : missing) {
     this->log.Add(time.now, "run absent from worker",
@@ -258,7 +291,7 @@
                                       .endpoint = worker.record.endpoint,
                                       .task = report.task,
                                       .run = report.run,
-                                      .fence = this->options.fence});
+                                      .fence = worker.fence});
 }
 
 void PoolPlanner::HandleUntrackedRun(WorkerState& worker,
@@ -279,12 +312,12 @@
   run.phase = RunPhase::kRunning;
   run.start_requested_at = time.now;
   run.start_confirmed_at = time.now;
+  run.fence = worker.fence;
   run.confirmed_clock_ms = worker.clock_ms;
   run.last_progress = {report.percent, time.now};
   run.first_progress = run.last_progress;
   worker.lease_expires_at =
-      std::max(worker.lease_expires_at,
-               time.now + this->OnSlowestClock(this->options.worker_lease));
+      std::max(worker.lease_expires_at, worker.inherited_lease_until);
   this->log.Add(time.now,
                 needed ? "run of earlier term continued" : "run not needed",
                 "task={} run={} worker={} percent={}", ToString(report.task),
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -4,6 +4,7 @@
 
 #include "agatepass/pool/crash_evidence.h"
 #include "agatepass/pool/pool_planner.h"
+#include "agatepass/pool/worker_fence.h"
 
 namespace agatepass::pool {
 
@@ -47,6 +48,7 @@
   if (is_first_report) {
     slot = std::make_unique<WorkerState>();
     slot->index = this->workers_by_index.size();
+    slot->fence = FenceOfLife(this->options.fence, 0);
     this->workers_by_index.push_back(slot.get());
     slot->next_sync = time.now;
     this->QueueSync(*slot);
@@ -151,21 +153,20 @@
                                         .endpoint = run.worker->record.endpoint,
                                         .task = run.task,
                                         .run = run.run_number,
-                                        .fence = this->options.fence});
+                                        .fence = run.worker->fence});
   }
 }
 
 void PoolPlanner::OnStop(const StopRequest& request,
                          const StartStopReply& reply, const PlannerTime& time) {
-  if (reply.result == WorkerCallResult::kFenced) {
-    this->EndLeadership("a worker has seen a higher fence");
-    return;
-  }
+  if (reply.result == WorkerCallResult::kFenced)
+    this->HandleFenced(request.worker, request.fence, time);
+  if (this->superseded) return;
   RunState* run = this->FindRun(request.task, request.run);
   // The stop of a duplicate says nothing about the run on the other worker.
   if (run == nullptr || run->worker->record.worker != request.worker) return;
   run->stop_in_flight = false;
-  if (std::exchange(run->stop_outdated, false)) {
+  if (run->worker->WasForFormerIncarnation(request.fence)) {
     run->next_stop = time.now;
     return;
   }
@@ -186,6 +187,20 @@
   }
 }
 
+void PoolPlanner::HandleFenced(const base::WorkerId& id, Fence fence,
+                               const PlannerTime& time) {
+  const auto found = this->workers.find(id);
+  const bool was_for_former = found != this->workers.end() &&
+                              found->second->WasForFormerIncarnation(fence);
+  if (!was_for_former) {
+    this->EndLeadership("a worker has seen a higher fence");
+    return;
+  }
+  this->log.Add(time.now, "call to former worker incarnation refused",
+                "worker={} fence={} current_fence={}", id.value, fence,
+                found->second->fence);
+}
+
 void PoolPlanner::RecordUnansweredCall(WorkerState& worker,
                                        const PlannerTime& time) {
   ++worker.unanswered_calls;
@@ -207,9 +222,12 @@
                 worker.record.worker.value, worker.runs.size());
   this->RecordSilence(worker, time.now);
   worker.silence->over = true;
+  worker.fence = FenceOfLife(this->options.fence, ++worker.former_incarnations);
   worker.synced = false;
   worker.may_have_restarted = true;
-  worker.incarnation_changed_at = time.now;
+  // The former incarnation leaves a sync in flight without an answer.
+  worker.quick_sync_wanted = true;
+  this->QueueSync(worker);
   worker.last_stored_end = 0;
   worker.last_handled_end = 0;
   worker.last_acknowledged_end = 0;
@@ -221,20 +239,6 @@
   for (RunState* run : worker.runs) {
     run->worker_restarted = true;
     run->confirmed_clock_ms.reset();
-    // The new incarnation may still get the start, and has seen no stop.
-    if (run->stop_in_flight) run->stop_outdated = true;
-    if (run->stop_confirmed_at && run->start_confirmed_at == base::Instant()) {
-      run->stop_confirmed_at.reset();
-      run->next_stop = time.now;
-    }
-  }
-  for (const UnansweredStart& start : worker.unanswered_starts) {
-    if (this->FindRun(start.task, start.run) != nullptr) continue;
-    this->effects.push_back(StopRequest{.worker = worker.record.worker,
-                                        .endpoint = worker.record.endpoint,
-                                        .task = start.task,
-                                        .run = start.run,
-                                        .fence = this->options.fence});
   }
 }
 
@@ -250,23 +254,32 @@
       std::exchange(worker.in_roster, false) || this->roster_is_stale;
 }
 
+bool PoolPlanner::MayStartLate(const RunState& run, base::Instant now) const {
+  return !IsAcknowledged(run) && this->IsKnownToLive(*run.worker, now) &&
+         now < run.start_requested_at + kMaxCallDelay +
+                   this->OnSlowestClock(this->options.max_worker_lease);
+}
+
 void PoolPlanner::DropLostRuns(WorkerState& worker, bool restarted,
                                const PlannerTime& time) {
-  if (worker.runs.empty()) return;
+  std::vector<RunState*> lost;
+  for (RunState* run : worker.runs) {
+    if (restarted || !this->MayStartLate(*run, time.now)) lost.push_back(run);
+  }
+  if (lost.empty()) return;
   ++this->totals.workers_lost;
-  this->totals.runs_given_up += worker.runs.size();
+  this->totals.runs_given_up += lost.size();
   const base::Instant silent_at =
       worker.silence ? worker.silence->since : time.now;
   this->log.Add(time.now, "runs lost",
                 "worker={} runs={} unproven_jobs={} was_silent={} silent_ms={} "
                 "unexplained_silences={} reason=\"{}\"",
-                worker.record.worker.value, worker.runs.size(),
+                worker.record.worker.value, lost.size(),
                 CountUnprovenJobs(worker), worker.silence.has_value(),
                 base::ToMilliseconds(time.now - silent_at),
                 this->CountUnexplainedSilences(silent_at),
                 restarted ? "another worker incarnation answers at its address"
                           : "worker lease expired");
-  const std::vector<RunState*> lost = worker.runs;
   for (RunState* run : lost) {
     this->log.Add(time.now, "run given up",
                   "task={} run={} worker={} phase={} percent={} "
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -316,8 +316,13 @@
    * one. */
   void HandleFailedSync(WorkerState& worker, const SyncRequest& request,
                         WorkerCallResult result, const PlannerTime& time);
-  /** Handles an answer that may come from an earlier incarnation of the worker:
-   * the ends in it count, its numbers and its clock do not. */
+  /** Bounds the lease that a worker's incarnation, which answers for the first
+   * time under its own fence, may have from calls that this planner did not
+   * send to it. */
+  void BoundInheritedLease(WorkerState& worker, const PlannerTime& time);
+  /** Handles the answer to a sync that was sent to a former incarnation of the
+   * worker, whichever answers: the ends in it count, its numbers and its clock
+   * do not. */
   void HandleFormerIncarnation(WorkerState& worker, const SyncReply& reply,
                                const PlannerTime& time);
   void HandleReportedRuns(WorkerState& worker, const SyncReply& reply,
@@ -343,13 +348,22 @@
   /** Records an answer of the worker and the clock reading in it. */
   void RecordAnswer(WorkerState& worker, int64_t clock_ms, base::Instant now);
   void RecordUnansweredCall(WorkerState& worker, const PlannerTime& time);
+  /** Handles a call that a worker refused for its fence: another planner has
+   * superseded this one, unless the call was meant for a former incarnation. */
+  void HandleFenced(const base::WorkerId& worker, Fence fence,
+                    const PlannerTime& time);
   /** Resets what is known of the worker's incarnation, as it restarted. The
    * next sync shows which of its runs are left. */
   void ForgetIncarnation(WorkerState& worker, const PlannerTime& time);
   /** Handles the proven end of the worker's incarnation: all its runs have
    * ended. */
   void EndIncarnation(WorkerState& worker, const PlannerTime& time);
-  /** Removes all runs of the worker, which have provably ended; their tasks may
+  /** Whether an incarnation of a worker that lives and does not answer may
+   * carry out the start of the run yet, or may have done so under the longest
+   * lease: what the start names as its deadline binds only the one it was sent
+   * to. */
+  bool MayStartLate(const RunState& run, base::Instant now) const;
+  /** Removes the runs of the worker that have provably ended; their tasks may
    * start again. */
   void DropLostRuns(WorkerState& worker, bool restarted,
                     const PlannerTime& time);
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -61,6 +61,8 @@
   /** What it takes of its worker's capacity. */
   platform::Resources taken;
   base::Instant start_requested_at;
+  /** Fence of its start request; 0 if another planner sent that. */
+  Fence fence = 0;
   /** Lane in which its start holds a place, until the start is answered. */
   std::optional<Lane> start_place;
   base::Instant expected_end;
@@ -70,9 +72,6 @@
   base::Instant next_stop;
   base::Instant stop_requested_at;
   std::optional<base::Instant> stop_confirmed_at;
-  /** Whether an earlier incarnation of the worker may answer the stop request
-   * in flight. */
-  bool stop_outdated = false;
   /** When the worker last confirmed the start, by its answer or in a sync. */
   base::Instant start_confirmed_at;
   /** The worker's clock in milliseconds when it first confirmed the start. */
@@ -306,13 +305,6 @@
   std::vector<WorkerState*> workers;
 };
 
-/** A start without an answer, which may be carried out late. */
-struct UnansweredStart {
-  TaskName task;
-  RunNumber run = 0;
-  base::Instant sent_at;
-};
-
 /** A worker's silence: a call was not answered, or another incarnation answers.
  */
 struct WorkerSilence {
@@ -368,12 +360,15 @@
   /** Start time of its incarnation in Unix milliseconds, as it reported it; 0
    * until then. */
   int64_t started_at_ms = 0;
-  /** Whether its current incarnation has been synced in this term. */
+  /** Number of its incarnations that this planner knows to be over. */
+  uint64_t former_incarnations = 0;
+  /** Whether its current incarnation has been synced in this term, under its
+   * own fence: it carries out no call that was meant for a former one any more.
+   */
   bool synced = false;
-  /** When its current incarnation became known, if it is not the first one that
-   * this planner knows. Requests sent until then may be answered by an earlier
-   * one. */
-  std::optional<base::Instant> incarnation_changed_at;
+  /** Fence of the calls to its current incarnation. One with a lower fence was
+   * meant for a former incarnation, which may be the one that answers it. */
+  Fence fence = 0;
   bool sync_in_flight = false;
   /** When the worker should have answered the sync in flight. */
   base::Instant sync_due_at;
@@ -397,14 +392,15 @@
   /** Whether it may have more ends than its last list of them showed. */
   bool ends_truncated = false;
   std::deque<UnstoredEnd> unstored_ends;
-  /** Starts that its next incarnation may carry out, of all incarnations. */
-  std::deque<UnansweredStart> unanswered_starts;
   /** The worker's clock in milliseconds, as it was at `clock_read_at`. */
   std::optional<int64_t> clock_ms;
   base::Instant clock_read_at;
   /** When all its runs have ended if its lease is not renewed, including runs
    * under leases of earlier terms. */
   base::Instant lease_expires_at;
+  /** Latest end of a lease that its current incarnation had from calls under
+   * lower fences. */
+  base::Instant inherited_lease_until;
   base::Instant last_answer_at;
   uint32_t unanswered_calls = 0;
   /** Its latest silence, unless it went on afterwards as the same incarnation.
@@ -423,10 +419,9 @@
   /** Resources in ticket reservations; gang reservations are not included. */
   platform::Resources reserved_for_tickets;
 
-  /** Whether an earlier incarnation may answer a request sent at this time. */
-  bool MayConcernFormerIncarnation(base::Instant sent_at) const {
-    return this->incarnation_changed_at &&
-           sent_at <= *this->incarnation_changed_at;
+  /** Whether a call with this fence was meant for a former incarnation. */
+  bool WasForFormerIncarnation(Fence call_fence) const {
+    return call_fence < this->fence;
   }
 
   platform::Resources FreeResources() const {
--- /dev/null
+++ b/src/agatepass/pool/tests/worker_fence_test.cpp
@@ -0,0 +1,170 @@
+// Calls that were meant for a former incarnation of a worker: the next one may
+// carry them out until it has seen a fence of its own.
+#include "agatepass/pool/worker_fence.h"
+
+#include "agatepass/pool/tests/planner_fixture.h"
+
+namespace agatepass::pool {
+namespace {
+
+using fakes::MakePoolJob;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int64_t kFormer = 5000;
+constexpr int64_t kCurrent = 65'000;
+/** Fence of the term of the fixture's planner. */
+constexpr Fence kTerm = 9;
+
+TEST(WorkerFence, OrdersLivesWithinATermAndTermsBeforeLives) {
+  EXPECT_LT(FenceOfLife(kTerm, 0), FenceOfLife(kTerm, 1));
+  EXPECT_LT(FenceOfLife(kTerm, kMaxLivesPerTerm + 5),
+            FenceOfLife(kTerm + 1, 0));
+  EXPECT_EQ(FenceOfLife(kTerm, kMaxLivesPerTerm + 5),
+            FenceOfLife(kTerm, kMaxLivesPerTerm + 6));
+}
+
+class RebornWorker : public PlannerFixture {
+ protected:
+  /** Lets w0 start again: the current incarnation answers the sync that was
+   * sent to the former one. */
+  void AnswerAsCurrent() {
+    this->AnswerSync(this->TakeSync("w0"), kCurrent, {}, {}, 500);
+  }
+};
+
+// Guards against starts on an incarnation that may still carry out a sync of
+// the former one: that would forget its ends and lengthen its lease.
+TEST_F(RebornWorker, GetsNoStartBeforeItHasAnsweredUnderItsOwnFence) {
+  this->Load();
+  this->StartOnW0(kFormer);
+  const Fence former = this->syncs.back().fence;
+  EXPECT_EQ(former, FenceOfLife(kTerm, 0));
+  this->AnswerAsCurrent();
+  this->Submit(MakePoolJob("b", 1, 1000, seconds(5)));
+  this->RunFor(milliseconds(300));
+  EXPECT_EQ(this->starts.size(), 0U);
+  const SyncRequest own = this->TakeSync("w0");
+  EXPECT_EQ(own.fence, FenceOfLife(kTerm, 1));
+  EXPECT_EQ(own.acknowledged_up_to, 0U);
+  EXPECT_FALSE(own.lease_until_ms);
+  this->AnswerSync(own, kCurrent, {}, {}, 600);
+  this->RunFor(milliseconds(300));
+  ASSERT_GE(this->starts.size(), 1U);
+  for (const StartRequest& start : this->starts) {
+    EXPECT_EQ(start.fence, FenceOfLife(kTerm, 1));
+  }
+}
+
+// Guards against a run that is given up 6.6 s after the last renewal, while its
+// worker still has the lease of 10 s that a call to its former incarnation
+// brought: the task would run twice.
+TEST_F(RebornWorker, KeepsItsRunsForAsLongAsACallToTheFormerOneAllows) {
+  this->Load();
+  this->StartOnW0(kFormer);
+  this->AnswerAsCurrent();
+  this->RunFor(kStep);
+  this->AnswerSync(this->TakeSync("w0"), kCurrent, {}, {}, 600);
+  this->ListWorker("w1", 1);
+  this->RunFor(milliseconds(300));
+  ASSERT_EQ(this->starts.size(), 1U);
+  ASSERT_EQ(this->starts[0].worker, base::WorkerId("w0"));
+  this->planner.OnStart(
+      this->task, 2,
+      {.result = WorkerCallResult::kDone, .worker_clock_ms = 900}, this->time);
+  this->starts.clear();
+  // Nothing comes from w0 any more.
+  const auto answer_w1 = [this] {
+    std::erase_if(this->syncs, [this](const SyncRequest& sync) {
+      if (sync.worker == base::WorkerId("w1")) {
+        this->AnswerSync(sync, 1, {}, {}, 100'000);
+      } else {
+        this->planner.OnSync(sync, {}, this->time);
+      }
+      return true;
+    });
+  };
+  for (int i = 0; i < 95; ++i) {
+    this->RunFor(milliseconds(100));
+    answer_w1();
+  }
+  EXPECT_EQ(this->starts.size(), 0U);
+  for (int i = 0; i < 20; ++i) {
+    this->RunFor(milliseconds(100));
+    answer_w1();
+  }
+  ASSERT_EQ(this->starts.size(), 1U);
+  EXPECT_EQ(this->starts[0].worker, base::WorkerId("w1"));
+}
+
+// Guards against a planner that takes the refusal of a call to the former
+// incarnation for a newer planner, and ends its term.
+TEST_F(RebornWorker, MayRefuseCallsToTheFormerOneWithoutEndingTheTerm) {
+  this->Load();
+  this->ListWorker("w0", kFormer);
+  this->RunFor(kStep);
+  this->AnswerSync(this->TakeSync("w0"), kFormer);
+  this->Submit(MakePoolJob("a", 1, 1000, seconds(5)));
+  this->RunFor(milliseconds(100));
+  ASSERT_EQ(this->starts.size(), 1U);
+  this->starts.clear();
+  const SyncRequest former = this->TakeSync("w0");
+  this->ListWorker("w0", kCurrent);
+  this->RunFor(kStep);
+  // The start and the sync arrive after the current one has seen its fence.
+  this->planner.OnStart(
+      this->task, 1,
+      {.result = WorkerCallResult::kFenced, .worker_clock_ms = 400},
+      this->time);
+  this->planner.OnSync(former, {.result = WorkerCallResult::kFenced},
+                       this->time);
+  this->AnswerSync(this->TakeSync("w0"), kCurrent, {}, {}, 500);
+  this->RunFor(milliseconds(300));
+  ASSERT_EQ(this->starts.size(), 1U) << "the term goes on";
+  EXPECT_EQ(this->starts[0].run, 2U);
+}
+
+// Guards against counting the silence of the former incarnation against the
+// current one, which would get no work for a while.
+TEST_F(RebornWorker, IsNotBlamedForUnansweredCallsToTheFormerOne) {
+  this->Load();
+  this->StartOnW0(kFormer);
+  const SyncRequest former = this->TakeSync("w0");
+  this->ListWorker("w0", kCurrent);
+  this->RunFor(kStep);
+  this->AnswerSync(this->TakeSync("w0"), kCurrent, {}, {}, 500);
+  this->planner.OnSync(former, {}, this->time);
+  this->RunFor(milliseconds(300));
+  EXPECT_EQ(this->starts.size(), 1U);
+}
+
+// Guards against a successor that counts on the usual lease of a worker which
+// has just started: its former incarnation is known to nobody any more.
+TEST_F(RebornWorker, IsKnownToASuccessorByItsStartTime) {
+  constexpr int64_t kJustNow = kWallMs - 2000;
+  const Job job = MakePoolJob("a", 1, 1000, seconds(30));
+  this->Load({{job, JobProgress{.phase = JobPhase::kRunning}}}, {"w0"});
+  this->ListWorker("w0", kJustNow);
+  this->ListWorker("w1", 1);
+  this->RunFor(kStep);
+  this->AnswerSync(this->TakeSync("w1"), 1, {}, {}, 100'000);
+  this->AnswerSync(this->TakeSync("w0"), kJustNow, {{this->task, 1}}, {}, 2000);
+  for (int i = 0; i < 95; ++i) {
+    this->RunFor(milliseconds(100));
+    while (!this->syncs.empty()) {
+      const SyncRequest sync = this->syncs.front();
+      this->syncs.erase(this->syncs.begin());
+      if (sync.worker == base::WorkerId("w1")) {
+        this->AnswerSync(sync, 1, {}, {}, 100'000);
+      } else {
+        this->planner.OnSync(sync, {}, this->time);
+      }
+    }
+  }
+  EXPECT_EQ(this->starts.size(), 0U);
+  this->RunFor(seconds(2));
+  EXPECT_EQ(this->starts.size(), 1U);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- a/tests/faults/pool_seeds_test.cpp
+++ b/tests/faults/pool_seeds_test.cpp
@@ -164,6 +164,49 @@
   }
 }
 
+/** Crashes a worker and, once it has started again under its id, mostly cuts it
+ * off; sometimes the planner is lost in between. */
+void CrashAndCutOff(PoolCell& cell, Draw& draw) {
+  const int worker = draw(kWorkers);
+  cell.CrashAndRestartWorker(worker);
+  if (draw(4) == 0) cell.KillPlanners(milliseconds(100 + draw(800)));
+  cell.RunFor(milliseconds(draw(3500)));
+  if (draw(4) == 0) return;
+  cell.faults.unreachable_workers.insert(cell.worker(worker).record.worker);
+  cell.RunFor(milliseconds(2000 + draw(10'000)));
+  cell.faults.unreachable_workers.clear();
+}
+
+// Workers that start again under their ids carry out calls that were meant for
+// their former incarnations, and are cut off while long tasks run there.
+class PoolRebornSeeds : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(PoolRebornSeeds, HoldsInvariantsAndFinishesAllJobs) {
+  constexpr uint64_t kSeedsPerCase = 50;
+  constexpr int kCrashes = 5;
+  for (uint64_t i = 0; i < kSeedsPerCase; ++i) {
+    const uint64_t seed = GetParam() * kSeedsPerCase + i;
+    Draw draw(seed);
+    PoolCell cell(seed, kWorkers);
+    int job = 0;
+    for (int crash = 0; crash < kCrashes; ++crash) {
+      cell.faults.late_sync_share = 0.5;
+      if (draw(3) == 0) cell.faults.late_start_share = 0.2;
+      for (int k = draw(4); k >= 0; --k) {
+        pool::Job next = DrawJob(job++, draw);
+        if (draw(2) == 0) next.steps[0].estimate = seconds(5 + draw(15));
+        cell.Submit(next);
+      }
+      cell.RunFor(milliseconds(200 + draw(3000)));
+      CrashAndCutOff(cell, draw);
+    }
+    ASSERT_NO_FATAL_FAILURE(CheckOutcome(cell, seed));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Random, PoolRebornSeeds,
+                         testing::Range<uint64_t>(0, 20));
+
 INSTANTIATE_TEST_SUITE_P(Random, PoolSplitSeeds,
                          testing::Range<uint64_t>(0, 20));
 
