Let a task that lasts and fails at once cost others little

What callers would see: a service whose tasks fail soon after each start is started again all the time; each worker is quarantined for 4 s after three failures, so that other jobs wait in an idle pool.

Evidence: LastingFailures.KeepNoWorkerFromOtherWork failed on for 5 of 10 jobs, each of which had to wait for longer than 3 s.

Change: a task that lasts and ends by itself within 5 s is started again after a delay that doubles from 20 ms up to 2 s; from the second time on its failure does not count against the worker. Quarantine for silence and refusals, and distrust for stalls and failures, are two spans: a step that has waited for 1.5 s while less than half of the processors are in use may use a worker that is only distrusted, if it finds no other. AreStartedAgainSoonButNotAllTheTime keeps both bounds of the delay.

--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -60,7 +60,10 @@
     if (worker == nullptr) continue;
     if (step.advice.covered_workers.Contains(worker->index)) continue;
     AdviceCandidate candidate{.worker = worker->index};
-    if (time.now >= worker->quarantined_until) {
+    const bool avoided =
+        worker->IsQuarantined(time.now) ||
+        (worker->IsDistrusted(time.now) && !step.waits_beside_room);
+    if (!avoided) {
       candidate.fits_now = this->CountFitsOn(*worker, step);
     }
     if (only_with_capacity && candidate.fits_now == 0) continue;
--- a/src/agatepass/pool/planner_load.cpp
+++ b/src/agatepass/pool/planner_load.cpp
@@ -44,7 +44,7 @@
     if (worker->record.service != service) continue;
     load.used_millicores += worker->used.millicores;
     load.total_millicores += worker->record.total.millicores;
-    if (now < worker->quarantined_until) continue;
+    if (worker->IsQuarantined(now) || worker->IsDistrusted(now)) continue;
     load.usable_millicores +=
         static_cast<double>(worker->record.total.millicores) *
         this->options.usable_processor_share;
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -180,7 +180,8 @@
                                   const PlannerTime& time) const {
   if (!this->IsSuitable(worker, step)) return false;
   if (!worker.synced || !worker.in_roster || !worker.clock_ms) return false;
-  if (time.now < worker.quarantined_until) return false;
+  if (worker.IsQuarantined(time.now)) return false;
+  if (worker.IsDistrusted(time.now) && !step.waits_beside_room) return false;
   if (worker.trials > 0 || this->capacities_outdated_since) return false;
   // Urgent steps may use resources reserved for gangs; late ones may not, even
   // of the highest priority: they would take them from gangs in time.
@@ -252,8 +253,8 @@
     const int64_t unused = candidate.worker->FreeResources().millicores - taken;
     const bool reserved = !candidate.worker->gang_reservations.empty();
     const bool on_trial = this->WasOnTrialLately(*candidate.worker, time.now);
-    return std::make_tuple(on_trial, remote, !candidate.ticket_valid, reserved,
-                           unused);
+    return std::make_tuple(candidate.worker->IsDistrusted(time.now), on_trial,
+                           remote, !candidate.ticket_valid, reserved, unused);
   };
   this->PlaceTrials(step, candidates, time);
   const Lane lane = GetLane(step, time.now);
--- a/src/agatepass/pool/planner_progress.cpp
+++ b/src/agatepass/pool/planner_progress.cpp
@@ -32,8 +32,7 @@
                 ToString(run.task), run.run_number,
                 run.worker->record.worker.value, percent,
                 base::ToMilliseconds(sample.elapsed));
-  run.worker->quarantined_until =
-      time.now + this->options.stall_quarantine_time;
+  run.worker->distrusted_until = time.now + this->options.stall_quarantine_time;
   run.step->tasks[run.task.index].avoided_worker = run.worker->record.worker;
   if (step.gang) {
     this->StopGangMembers(*run.step, run.run_number, time.now);
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -12,9 +12,24 @@
  */
 constexpr base::Duration kRestartDelay = std::chrono::milliseconds(20);
 
+/** A run of a task that lasts which ends by itself earlier than this is
+ * repeated after a delay that doubles each time, up to the longest one. */
+constexpr base::Duration kMinLastingLife = std::chrono::seconds(5);
+constexpr base::Duration kMaxLastingRestartDelay = std::chrono::seconds(2);
+
 /** How often a call waits for the event loop until its answer is read. */
 constexpr int kLagsPerCall = 4;
 
+/** Delays the next run of a task that lasts after one that ended by itself.
+ * \param lifetime how long that run lived. */
+void DelayLastingTask(TaskState& task, base::Duration lifetime,
+                      base::Instant now) {
+  task.restart_delay = lifetime >= kMinLastingLife
+                           ? base::Duration(0)
+                           : std::clamp(2 * task.restart_delay, kRestartDelay,
+                                        kMaxLastingRestartDelay);
+  task.earliest_start = std::max(task.earliest_start, now + task.restart_delay);
+}
 
 }  // namespace
 
@@ -134,12 +149,13 @@
                                const PlannerTime& time) {
   ++this->totals.ends;
   RunState* run = this->FindRun(report.task, report.run);
+  base::Duration lifetime = kMinLastingLife;
   if (run != nullptr && run->worker == &worker) {
+    lifetime = time.now - run->start_requested_at;
     this->log.Add(time.now, "run ended",
                   "task={} run={} worker={} end=\"{}\" after_ms={}",
                   ToString(report.task), report.run, worker.record.worker.value,
-                  RunEndName(report.end),
-                  base::ToMilliseconds(time.now - run->start_requested_at));
+                  RunEndName(report.end), base::ToMilliseconds(lifetime));
     this->ReleaseRun(*run);
   }
   StepState* step = this->FindReportedStep(report.task, time);
@@ -154,6 +170,10 @@
   task.ended_run = std::max(task.ended_run, report.run);
   this->WithdrawCrash(task, report.run);
   job.MarkBegun();
+  const bool ended_by_itself =
+      report.end == RunEnd::kSucceeded || report.end == RunEnd::kFailed;
+  if (step->definition->long_running && ended_by_itself)
+    DelayLastingTask(task, lifetime, time.now);
   if (job.IsOpen() && !task.succeeded) {
     if (!report.checkpoint.empty()) task.checkpoint = report.checkpoint;
     this->MarkChanged(job);
@@ -209,8 +229,10 @@
   if (!already_counted && !step.definition->long_running) {
     failed_runs.push_back(report.run);
   }
+  // A task that fails again and again by itself says nothing of its workers.
+  if (task.restart_delay > kRestartDelay) return;
   if (++worker.consecutive_failures >= this->options.failures_to_quarantine) {
-    worker.quarantined_until = time.now + this->options.failure_quarantine_time;
+    worker.distrusted_until = time.now + this->options.failure_quarantine_time;
     worker.consecutive_failures = 0;
     this->log.Add(time.now, "worker quarantined after repeated failures",
                   "worker={}", worker.record.worker.value);
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -118,6 +118,9 @@
    * avoids it while another worker is possible. */
   base::WorkerId avoided_worker;
   base::Instant earliest_start;
+  /** Of a task that lasts: the delay after its latest run, which ended by
+   * itself soon after its start; 0 if that lived for a while. */
+  base::Duration restart_delay{0};
   /** Runs that were lost because their workers crashed, since a run of it was
    * last proven harmless. */
   std::vector<CrashedRun> crashed_runs;
@@ -411,7 +414,11 @@
   base::Instant last_trial_at;
   /** Failed runs since the last successful run or quarantine for failures. */
   uint32_t consecutive_failures = 0;
+  /** Until when it gets no work: it did not answer, or refused a start. */
   base::Instant quarantined_until;
+  /** Until when it gets no work while other workers have room, as runs have
+   * stalled or failed there. */
+  base::Instant distrusted_until;
   std::vector<RunState*> runs;
   platform::Resources used;
   /** Reservations for gangs that include this worker. */
@@ -419,6 +426,13 @@
   /** Resources in ticket reservations; gang reservations are not included. */
   platform::Resources reserved_for_tickets;
 
+  bool IsQuarantined(base::Instant now) const {
+    return now < this->quarantined_until;
+  }
+  bool IsDistrusted(base::Instant now) const {
+    return now < this->distrusted_until;
+  }
+
   /** Whether a call with this fence was meant for a former incarnation. */
   bool WasForFormerIncarnation(Fence call_fence) const {
     return call_fence < this->fence;
