Start work on a worker only by an entry of its current incarnation

Cause: the planner learned of the new incarnation from its answer, and went on to place tasks by the store's entry of the former one. GetsNoStartByTheEntryOfTheFormerOne failed with the new check taken out.

Change: a worker takes no tasks while the entry and the incarnation that answers have different start times; "worker synced" says so (former_entry). The stand-in now lists the entry of a worker that is back.

Why it works: labels, rack and capacity of an incarnation are only known from its own entry, and all starts go through CanTakeTasksNow.

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -163,9 +163,11 @@
   this->lost_run_count += static_cast<int>(lost_runs.size());
   worker.Crash(this->GetPlannerTime().wall_ms);
   this->restarting_workers.insert(worker.record.worker);
-  this->Schedule(this->restart_duration, [this, id = worker.record.worker] {
-    this->restarting_workers.erase(id);
-  });
+  this->Schedule(this->restart_duration,
+                 [this, index, id = worker.record.worker] {
+                   this->restarting_workers.erase(id);
+                   this->ReportWorker(index);
+                 });
   this->EndLostRuns(worker, lost_runs);
 }
 
@@ -216,6 +218,8 @@
 }
 
 void PoolCell::ReportWorker(size_t index) {
+  if (this->unlisted_workers.contains(this->workers[index]->record.worker))
+    return;
   if (this->faults.reports_lost) {
     this->Schedule(kTickInterval, [this, index] { this->ReportWorker(index); });
   } else if (pool::PoolPlanner* planner = this->planner()) {
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -180,6 +180,7 @@
                                   const PlannerTime& time) const {
   if (!this->IsSuitable(worker, step)) return false;
   if (!worker.synced || !worker.in_roster || !worker.clock_ms) return false;
+  if (worker.HasFormerRecord()) return false;
   if (worker.IsQuarantined(time.now)) return false;
   if (worker.IsDistrusted(time.now) && !step.waits_beside_room) return false;
   if (worker.trials > 0 || this->capacities_outdated_since) return false;
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -146,11 +146,12 @@
     this->BoundInheritedLease(worker, time);
     this->log.Add(time.now, "worker synced",
                   "worker={} running={} ended={} started_at_ms={} clock_ms={} "
-                  "fence={} lease_expires_ms={}",
+                  "fence={} lease_expires_ms={} former_entry={}",
                   request.worker.value, reply.running.size(),
                   reply.ended.size(), reply.started_at_ms,
                   reply.worker_clock_ms, request.fence,
-                  base::ToMilliseconds(worker.lease_expires_at - time.now));
+                  base::ToMilliseconds(worker.lease_expires_at - time.now),
+                  worker.HasFormerRecord());
   }
   for (const ReportedEnd& report : reply.ended) {
     if (report.sequence_number > worker.last_handled_end)
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -426,6 +426,13 @@
   /** Resources in ticket reservations; gang reservations are not included. */
   platform::Resources reserved_for_tickets;
 
+  /** Whether what the store says of it, labels and capacity, is known to be of
+   * a former incarnation: a worker may start again as another kind. */
+  bool HasFormerRecord() const {
+    return this->started_at_ms != 0 && this->record.started_at_ms != 0 &&
+           this->started_at_ms != this->record.started_at_ms;
+  }
+
   bool IsQuarantined(base::Instant now) const {
     return now < this->quarantined_until;
   }
--- a/src/agatepass/pool/tests/confirmed_stop_test.cpp
+++ b/src/agatepass/pool/tests/confirmed_stop_test.cpp
@@ -67,6 +67,7 @@
   // By its own fence it refuses the start from its next answer on.
   ASSERT_FALSE(this->syncs.empty());
   EXPECT_GT(this->syncs.front().fence, former);
+  this->ListWorker("w0", 2);
   this->AnswerSyncsOfW0(2);
   ASSERT_EQ(this->starts.size(), 1U);
   EXPECT_GT(this->starts.front().fence, former);
--- a/src/agatepass/pool/tests/worker_fence_test.cpp
+++ b/src/agatepass/pool/tests/worker_fence_test.cpp
@@ -49,6 +49,7 @@
   EXPECT_EQ(own.acknowledged_up_to, 0U);
   EXPECT_FALSE(own.lease_until_ms);
   this->AnswerSync(own, kCurrent, {}, {}, 600);
+  this->ListWorker("w0", kCurrent);
   this->RunFor(milliseconds(300));
   ASSERT_GE(this->starts.size(), 1U);
   for (const StartRequest& start : this->starts) {
@@ -65,6 +66,7 @@
   this->AnswerAsCurrent();
   this->RunFor(kStep);
   this->AnswerSync(this->TakeSync("w0"), kCurrent, {}, {}, 600);
+  this->ListWorker("w0", kCurrent);
   this->ListWorker("w1", 1);
   this->RunFor(milliseconds(300));
   ASSERT_EQ(this->starts.size(), 1U);
@@ -97,6 +99,25 @@
   EXPECT_EQ(this->starts[0].worker, base::WorkerId("w1"));
 }
 
+// Guards against starts by the labels and the capacity of the former
+// incarnation: the next one may be of another kind.
+TEST_F(RebornWorker, GetsNoStartByTheEntryOfTheFormerOne) {
+  this->Load();
+  this->ListWorker("w0", kFormer);
+  this->RunFor(kStep);
+  this->AnswerSync(this->TakeSync("w0"), kFormer);
+  this->RunFor(kStep);
+  this->AnswerAsCurrent();
+  this->RunFor(kStep);
+  this->AnswerSync(this->TakeSync("w0"), kCurrent, {}, {}, 600);
+  this->Submit(MakePoolJob("a", 1, 1000, seconds(5)));
+  this->RunFor(seconds(1));
+  EXPECT_EQ(this->starts.size(), 0U);
+  this->ListWorker("w0", kCurrent);
+  this->RunFor(milliseconds(100));
+  ASSERT_EQ(this->starts.size(), 1U);
+}
+
 // Guards against a planner that takes the refusal of a call to the former
 // incarnation for a newer planner, and ends its term.
 TEST_F(RebornWorker, MayRefuseCallsToTheFormerOneWithoutEndingTheTerm) {
