--- a/src/agatepass/pool/crash_evidence.cpp
+++ b/src/agatepass/pool/crash_evidence.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <span>
 
+#include "agatepass/pool/worker_state.h"
+
 namespace agatepass::pool {
 
 namespace {
--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -62,7 +62,7 @@
     AdviceCandidate candidate{.worker = worker->index};
     const bool avoided =
         worker->IsQuarantined(time.now) ||
-        (worker->IsDistrusted(time.now) && !step.waits_beside_room);
+        (worker->IsDistrusted(time.now) && !step.waits_despite_capacity);
     if (!avoided) {
       candidate.fits_now = this->CountFitsOn(*worker, step);
     }
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -18,7 +18,8 @@
 
 /** How long a step may be kept from what is reserved for gangs while less than
  * half of its service's processors are in use. */
-constexpr base::Duration kMaxWaitBesideRoom = std::chrono::milliseconds(1500);
+constexpr base::Duration kMaxWaitDespiteCapacity =
+    std::chrono::milliseconds(1500);
 
 /** Counts the runs of a step on a worker, also those that no job needs and that
  * are being stopped. */
@@ -117,9 +118,10 @@
   return steps;
 }
 
-bool PoolPlanner::WaitsBesideRoom(const StepState& step,
-                                  const PlannerTime& time) {
-  if (!step.ready_since || time.now < *step.ready_since + kMaxWaitBesideRoom)
+bool PoolPlanner::WaitsDespiteCapacity(const StepState& step,
+                                       const PlannerTime& time) {
+  if (!step.ready_since ||
+      time.now < *step.ready_since + kMaxWaitDespiteCapacity)
     return false;
   const ServiceLoad& load = this->FindLoad(step.job->policy.service, time);
   return 2 * load.used_millicores < load.total_millicores;
@@ -127,7 +129,7 @@
 
 void PoolPlanner::PlaceStep(StepState& step, const PlannerTime& time) {
   if (!step.job->IsOpen()) return;
-  step.waits_beside_room = this->WaitsBesideRoom(step, time);
+  step.waits_despite_capacity = this->WaitsDespiteCapacity(step, time);
   if (this->NeedsAdvice(step) && !step.advice.answered) {
     this->RequestMoreAdvice(step, time);
     return;
@@ -182,12 +184,13 @@
   if (!worker.synced || !worker.in_roster || !worker.clock_ms) return false;
   if (worker.HasFormerRecord()) return false;
   if (worker.IsQuarantined(time.now)) return false;
-  if (worker.IsDistrusted(time.now) && !step.waits_beside_room) return false;
+  if (worker.IsDistrusted(time.now) && !step.waits_despite_capacity)
+    return false;
   if (worker.trials > 0 || this->capacities_outdated_since) return false;
   // Urgent steps may use resources reserved for gangs; late ones may not, even
   // of the highest priority: they would take them from gangs in time.
   if (GetUrgency(step, time.now) == Urgency::kUrgent) return true;
-  if (step.waits_beside_room) return true;
+  if (step.waits_despite_capacity) return true;
   const base::Instant end = time.now + step.definition->estimate;
   return std::none_of(
       worker.gang_reservations.begin(), worker.gang_reservations.end(),
--- a/src/agatepass/pool/planner_trials.cpp
+++ b/src/agatepass/pool/planner_trials.cpp
@@ -139,7 +139,14 @@
   const std::set<RunKey> on_probation = this->runs_on_probation;
   for (const auto& [task, number] : on_probation) {
     RunState& run = *this->FindRun(task, number);
-    if (run.survived >= TrialTimeOf(run)) this->EndTrial(run);
+    if (run.on_trial && run.survived >= TrialTimeOf(run)) {
+      this->log.Add(time.now, "trial ended",
+                    "task={} run={} worker={} survived_ms={} probation_ms={}",
+                    ToString(task), number, run.worker->record.worker.value,
+                    base::ToMilliseconds(run.survived),
+                    base::ToMilliseconds(ProbationOf(run)));
+      this->EndTrial(run);
+    }
     if (!IsUnproven(run)) {
       this->EndProbation(run);
       if (run.step == nullptr) continue;
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -48,7 +48,7 @@
   if (is_first_report) {
     slot = std::make_unique<WorkerState>();
     slot->index = this->workers_by_index.size();
-    slot->fence = FenceOfLife(this->options.fence, 0);
+    slot->fence = FenceOfIncarnation(this->options.fence, 0);
     this->workers_by_index.push_back(slot.get());
     slot->next_sync = time.now;
     this->QueueSync(*slot);
@@ -222,7 +222,8 @@
                 worker.record.worker.value, worker.runs.size());
   this->RecordSilence(worker, time.now);
   worker.silence->over = true;
-  worker.fence = FenceOfLife(this->options.fence, ++worker.former_incarnations);
+  worker.fence =
+      FenceOfIncarnation(this->options.fence, ++worker.former_incarnations);
   worker.synced = false;
   worker.may_have_restarted = true;
   // The former incarnation leaves a sync in flight without an answer.
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -37,6 +37,7 @@
 #include "agatepass/pool/record_codec.h"
 #include "agatepass/pool/start_capacity.h"
 #include "agatepass/pool/store_health.h"
+#include "agatepass/pool/worker_state.h"
 #include "agatepass/pool/write_backlog.h"
 #include "agatepass/timeline/decision_log.h"
 
@@ -542,13 +543,14 @@
   std::vector<StepState*> CollectReadySteps(const PlannerTime& time);
   /** Whether the step has waited for a while although less than half of its
    * service's processors are in use. */
-  bool WaitsBesideRoom(const StepState& step, const PlannerTime& time);
+  bool WaitsDespiteCapacity(const StepState& step, const PlannerTime& time);
   void PlaceStep(StepState& step, const PlannerTime& time);
   std::vector<Candidate> FindCandidates(StepState& step,
                                         const PlannerTime& time);
   /** Whether the step may start there now if it fits: the worker is suitable,
-   * synced, in the roster, not in quarantine, and not reserved for a gang that
-   * the step could delay. */
+   * synced, in the roster, described by an entry of its current incarnation,
+   * not in quarantine, and not reserved for a gang that the step could delay.
+   */
   bool CanTakeTasksNow(const WorkerState& worker, const StepState& step,
                        const PlannerTime& time) const;
   /** Whether the step could run there once the worker is healthy and has enough
--- a/src/agatepass/pool/tests/departed_workers_test.cpp
+++ b/src/agatepass/pool/tests/departed_workers_test.cpp
@@ -78,7 +78,7 @@
                        .end = RunEnd::kFailed});
     }
     this->running[worker].clear();
-    this->planner.OnSync({.worker = worker, .fence = FenceOfLife(9, 0)},
+    this->planner.OnSync({.worker = worker, .fence = FenceOfIncarnation(9, 0)},
                          {.result = WorkerCallResult::kDone,
                           .worker_clock_ms = 1,
                           .started_at_ms = 1,
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -37,7 +37,7 @@
   void DeliverSync(const std::string& worker, std::vector<ReportedEnd> ended,
                    std::vector<ReportedRun> running = {}) {
     this->planner.OnSync(
-        {.worker = base::WorkerId(worker), .fence = FenceOfLife(9, 0)},
+        {.worker = base::WorkerId(worker), .fence = FenceOfIncarnation(9, 0)},
         {.result = WorkerCallResult::kDone,
          .worker_clock_ms = 1000,
          .started_at_ms = 1,
--- a/src/agatepass/pool/tests/worker_fence_test.cpp
+++ b/src/agatepass/pool/tests/worker_fence_test.cpp
@@ -16,12 +16,12 @@
 /** Fence of the term of the fixture's planner. */
 constexpr Fence kTerm = 9;
 
-TEST(WorkerFence, OrdersLivesWithinATermAndTermsBeforeLives) {
-  EXPECT_LT(FenceOfLife(kTerm, 0), FenceOfLife(kTerm, 1));
-  EXPECT_LT(FenceOfLife(kTerm, kMaxLivesPerTerm + 5),
-            FenceOfLife(kTerm + 1, 0));
-  EXPECT_EQ(FenceOfLife(kTerm, kMaxLivesPerTerm + 5),
-            FenceOfLife(kTerm, kMaxLivesPerTerm + 6));
+TEST(WorkerFence, OrdersIncarnationsWithinATermAndTermsBeforeThem) {
+  EXPECT_LT(FenceOfIncarnation(kTerm, 0), FenceOfIncarnation(kTerm, 1));
+  EXPECT_LT(FenceOfIncarnation(kTerm, kMaxIncarnationsPerTerm + 5),
+            FenceOfIncarnation(kTerm + 1, 0));
+  EXPECT_EQ(FenceOfIncarnation(kTerm, kMaxIncarnationsPerTerm + 5),
+            FenceOfIncarnation(kTerm, kMaxIncarnationsPerTerm + 6));
 }
 
 class RebornWorker : public PlannerFixture {
@@ -39,13 +39,13 @@
   this->Load();
   this->StartOnW0(kFormer);
   const Fence former = this->syncs.back().fence;
-  EXPECT_EQ(former, FenceOfLife(kTerm, 0));
+  EXPECT_EQ(former, FenceOfIncarnation(kTerm, 0));
   this->AnswerAsCurrent();
   this->Submit(MakePoolJob("b", 1, 1000, seconds(5)));
   this->RunFor(milliseconds(300));
   EXPECT_EQ(this->starts.size(), 0U);
   const SyncRequest own = this->TakeSync("w0");
-  EXPECT_EQ(own.fence, FenceOfLife(kTerm, 1));
+  EXPECT_EQ(own.fence, FenceOfIncarnation(kTerm, 1));
   EXPECT_EQ(own.acknowledged_up_to, 0U);
   EXPECT_FALSE(own.lease_until_ms);
   this->AnswerSync(own, kCurrent, {}, {}, 600);
@@ -53,7 +53,7 @@
   this->RunFor(milliseconds(300));
   ASSERT_GE(this->starts.size(), 1U);
   for (const StartRequest& start : this->starts) {
-    EXPECT_EQ(start.fence, FenceOfLife(kTerm, 1));
+    EXPECT_EQ(start.fence, FenceOfIncarnation(kTerm, 1));
   }
 }
 
--- a/src/agatepass/pool/tests/write_backlog_test.cpp
+++ b/src/agatepass/pool/tests/write_backlog_test.cpp
@@ -77,12 +77,13 @@
                        .end = RunEnd::kSucceeded});
     }
     ++this->next_task_index;
-    this->planner.OnSync({.worker = this->worker, .fence = FenceOfLife(9, 0)},
-                         {.result = WorkerCallResult::kDone,
-                          .worker_clock_ms = 1,
-                          .started_at_ms = 1,
-                          .ended = std::move(ended)},
-                         this->time);
+    this->planner.OnSync(
+        {.worker = this->worker, .fence = FenceOfIncarnation(9, 0)},
+        {.result = WorkerCallResult::kDone,
+         .worker_clock_ms = 1,
+         .started_at_ms = 1,
+         .ended = std::move(ended)},
+        this->time);
   }
 
   static constexpr int kJobs = 300;
--- a/src/agatepass/pool/worker_fence.h
+++ b/src/agatepass/pool/worker_fence.h
@@ -2,17 +2,17 @@
  * Fencing tokens of the calls to a worker.
  *
  * A worker that crashes starts again under its id. Calls that were sent to its
- * former life may reach the next one, seconds late, and nothing else in them
- * tells the two apart: leases and acknowledgements would count for what they
- * were not meant for. So each life is called under a fence of its own, which is
- * higher than those of the lives before it and lower than any of the next
- * planner. From its first answer under that fence on, a life refuses all calls
- * that were meant for a former one.
+ * former incarnation may reach the next one, seconds late, and nothing else in
+ * them tells the two apart: leases and acknowledgements would count for what
+ * they were not meant for. So each incarnation is called under a fence of its
+ * own, which is higher than those of the ones before it and lower than any of
+ * the next planner. From its first answer under that fence on, it refuses all
+ * calls that were meant for a former one.
  *
  * \code
- * FenceOfLife(412, 0) < FenceOfLife(412, 1);  // the worker has started again
- * FenceOfLife(412, 1) < FenceOfLife(413, 0);  // the next planner
- * \endcode
+ * FenceOfIncarnation(412, 0) < FenceOfIncarnation(412, 1);  // the worker has
+ * started again FenceOfIncarnation(412, 1) < FenceOfIncarnation(413, 0);  //
+ * the next planner \endcode
  */
 #ifndef AGATEPASS_POOL_WORKER_FENCE_H_
 #define AGATEPASS_POOL_WORKER_FENCE_H_
@@ -28,16 +28,17 @@
 /** Time within which a worker may carry out a call that it has not answered. */
 inline constexpr base::Duration kMaxCallDelay = std::chrono::seconds(15);
 
-/** Lives of one worker that a planner tells apart in its term. Fences of any
- * revision below 2^33 stay exact as numbers in JSON. */
-inline constexpr uint64_t kMaxLivesPerTerm = uint64_t{1} << 20;
+/** Incarnations of one worker that a planner tells apart in its term. Fences of
+ * any revision below 2^33 stay exact as numbers in JSON. */
+inline constexpr uint64_t kMaxIncarnationsPerTerm = uint64_t{1} << 20;
 
-/** Returns the fence of the calls to one life of a worker.
+/** Returns the fence of the calls to one incarnation of a worker.
  * \param term fence of the planner's term.
- * \param life number of lives of the worker that this planner knows to be
- *     over; those beyond kMaxLivesPerTerm share the highest fence. */
-constexpr Fence FenceOfLife(Fence term, uint64_t life) {
-  return term * kMaxLivesPerTerm + std::min(life, kMaxLivesPerTerm - 1);
+ * \param former number of its former incarnations that this planner knows;
+ *     those beyond kMaxIncarnationsPerTerm share the highest fence. */
+constexpr Fence FenceOfIncarnation(Fence term, uint64_t former) {
+  return term * kMaxIncarnationsPerTerm +
+         std::min(former, kMaxIncarnationsPerTerm - 1);
 }
 
 }  // namespace agatepass::pool
