Bear any start time that a worker reports

The bound is computed from our own clock instead.

It was not run on the code before under the sanitizer.

--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -188,11 +188,11 @@
   // were meant for a former incarnation. Such a call names a time on the former
   // clock. If that lies ahead of the current one, the lease is the longest that
   // a worker grants.
-  const base::Duration age =
-      std::chrono::milliseconds(time.wall_ms - worker.started_at_ms);
+  const base::Duration oldest_lease =
+      kMaxCallDelay + this->options.max_worker_lease + kMaxWallClockError;
   const bool may_have_former_lease =
       worker.former_incarnations > 0 ||
-      age < kMaxCallDelay + this->options.max_worker_lease + kMaxWallClockError;
+      worker.started_at_ms > time.wall_ms - base::ToMilliseconds(oldest_lease);
   const base::Duration lease = may_have_former_lease
                                    ? this->options.max_worker_lease
                                    : this->options.worker_lease;
--- a/src/agatepass/pool/tests/worker_fence_test.cpp
+++ b/src/agatepass/pool/tests/worker_fence_test.cpp
@@ -2,6 +2,8 @@
 // carry them out until it has seen a fence of its own.
 #include "agatepass/pool/worker_fence.h"
 
+#include <limits>
+
 #include "agatepass/pool/tests/planner_fixture.h"
 
 namespace agatepass::pool {
@@ -187,5 +189,19 @@
   EXPECT_EQ(this->starts.size(), 1U);
 }
 
+// Guards against start times, which workers write, that are beyond all reason.
+TEST_F(RebornWorker, MayReportAnyStartTime) {
+  this->Load();
+  for (const int64_t start : {std::numeric_limits<int64_t>::min(),
+                              std::numeric_limits<int64_t>::max()}) {
+    this->ListWorker("w0", start);
+    this->RunFor(milliseconds(500));
+    this->AnswerSync(this->TakeSync("w0"), start);
+  }
+  this->Submit(MakePoolJob("a", 1, 1000, seconds(5)));
+  this->RunFor(milliseconds(300));
+  EXPECT_EQ(this->starts.size(), 1U);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
