--- a/src/agatepass/pool/worker_fence.h
+++ b/src/agatepass/pool/worker_fence.h
@@ -10,9 +10,10 @@
  * calls that were meant for a former one.
  *
  * \code
- * FenceOfIncarnation(412, 0) < FenceOfIncarnation(412, 1);  // the worker has
- * started again FenceOfIncarnation(412, 1) < FenceOfIncarnation(413, 0);  //
- * the next planner \endcode
+ * // The worker starts again, and then the next planner begins its term.
+ * FenceOfIncarnation(412, 0) < FenceOfIncarnation(412, 1);
+ * FenceOfIncarnation(412, 1) < FenceOfIncarnation(413, 0);
+ * \endcode
  */
 #ifndef AGATEPASS_POOL_WORKER_FENCE_H_
 #define AGATEPASS_POOL_WORKER_FENCE_H_
