Start nothing on an answer for advice while leadership is unconfirmed

Cause: two paths to PlaceStep, each with conditions of its own. Change: the condition stands in PlaceStep, through which all starts come.

SupersededPlanner.StartsNothingWhenAdviceArrives failed before (one start).

--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -252,8 +252,7 @@
                 step_number, advice.query_workers.size(), reply.tickets.size(),
                 base::ToMilliseconds(time.now - advice.asked_at));
   // Placed immediately, before other steps take the capacity that was reserved.
-  if (!this->handing_over && !this->superseded &&
-      this->places.HasRoomForStart(GetLane(*step, time.now)) &&
+  if (this->places.HasRoomForStart(GetLane(*step, time.now)) &&
       this->IsReady(*step, time)) {
     this->PlaceStep(*step, time);
   }
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -128,6 +128,8 @@
 }
 
 void PoolPlanner::PlaceStep(StepState& step, const PlannerTime& time) {
+  // All starts come through here.
+  if (this->handing_over || this->superseded || this->unconfirmed_since) return;
   if (!step.job->IsOpen()) return;
   step.waits_despite_capacity = this->WaitsDespiteCapacity(step, time);
   if (this->NeedsAdvice(step) && !step.advice.answered) {
--- a/src/agatepass/pool/tests/superseded_planner_test.cpp
+++ b/src/agatepass/pool/tests/superseded_planner_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using fakes::MakePoolJob;
+using fakes::PlannerCutOff;
 using fakes::PoolCell;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -166,5 +167,27 @@
   EXPECT_EQ(cell.StoredPhase(base::JobId("b")), JobPhase::kSucceeded);
 }
 
+// Guards against a start that an answer for advice brings, past the check of
+// the scheduling pass, while another planner may have been elected.
+TEST(SupersededPlanner, StartsNothingWhenAdviceArrives) {
+  PoolCell cell(1, kWorkers);
+  cell.queues.queues[0].policy.advice =
+      AdvicePolicy{.call_duration = seconds(3), .ticket_lifetime = seconds(9)};
+  cell.ReplacePlanner();
+  cell.RunFor(seconds(1));
+  cell.Submit(MakePoolJob("a", 1, 1000, seconds(1)));
+  cell.RunFor(milliseconds(300));
+  ASSERT_TRUE(cell.IsStored(base::JobId("a")));
+  PlannerCutOff& cut_off = cell.faults.planner_cut_offs[cell.newest_fence()];
+  cut_off.store = true;
+  cut_off.hosts = true;
+  cell.RunFor(seconds(4));
+  EXPECT_EQ(cell.CountStarts({base::JobId("a"), 0, 0, 0}), 0);
+  cell.faults = {};
+  cell.RunFor(seconds(10));
+  EXPECT_EQ(cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+  EXPECT_EQ(cell.violations(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace agatepass::pool
