Excuse a crash only by workers that this planner had reached before

Cause: a crash counts fully against a task only if no other worker fell silent at the same time without an explanation. A worker that comes back after a crash was counted as falling silent at that moment, if this planner had not reached it before (after each takeover), and once more if the first call to it failed on a connection of its former incarnation.

Change: a silence explains other crashes only if the worker was synced before.

CrashEvidenceTest.TheReturnOfAWorkerThatWasNeverReachedExplainsNothing and AFailedFirstCallToAWorkerThatIsBackExplainsNothing failed before; AWorkerThatFallsSilentAtTheSameTimeExplainsACrash held and holds.

--- a/src/agatepass/pool/crash_evidence.cpp
+++ b/src/agatepass/pool/crash_evidence.cpp
@@ -18,6 +18,11 @@
 
 }  // namespace
 
+bool IsOnlyExplanation(const CrashEvidence& evidence) {
+  return evidence.restarted && evidence.alone_on_worker &&
+         evidence.unexplained_silences == 0;
+}
+
 base::Duration ProbationOf(const RunState& run) {
   return FindProbation(CrashesUnderTask(run));
 }
--- a/src/agatepass/pool/crash_evidence.h
+++ b/src/agatepass/pool/crash_evidence.h
@@ -16,6 +16,21 @@
  * same time. */
 inline constexpr base::Duration kSameTime = std::chrono::milliseconds(250);
 
+/** What is known of the loss of a worker, beside the run that is judged. */
+struct CrashEvidence {
+  /** Whether the worker is known to have restarted; otherwise it may only be
+   * cut off. */
+  bool restarted = false;
+  /** Whether all runs that were unproven there were of the run's job. */
+  bool alone_on_worker = false;
+  /** Number of workers that fell silent at the same time without a run that
+   * could be the cause. */
+  size_t unexplained_silences = 0;
+};
+
+/** Whether nothing but the run that is judged explains the loss. */
+bool IsOnlyExplanation(const CrashEvidence& evidence);
+
 /** Returns how long the worker must outlive the start to prove the run
  * harmless. */
 base::Duration ProbationOf(const RunState& run);
--- a/src/agatepass/pool/planner_crashes.cpp
+++ b/src/agatepass/pool/planner_crashes.cpp
@@ -27,8 +27,11 @@
       worker.runs.begin(), worker.runs.end(), [](const RunState* run) {
         return IsUnprovenOnWorker(*run) && IsAcknowledged(*run);
       });
+  // Of an incarnation that this planner has not reached it is not known when it
+  // fell silent; one that comes back shows only that it did before.
   worker.silence = WorkerSilence{
-      .since = now, .unexplained = !is_explained && !worker.leaves_at};
+      .since = now,
+      .unexplained = worker.synced && !is_explained && !worker.leaves_at};
   std::map<base::JobId, std::string> queues;
   for (RunState* run : worker.runs) {
     if (run->worker_restarted) continue;
@@ -113,16 +116,20 @@
   // A proven run counts only if its worker's silence is the only one at that
   // time that no unproven run explains.
   if (!unproven && !(restarted && unexplained == 1)) return;
+  const CrashEvidence evidence{.restarted = restarted,
+                               .alone_on_worker = run.alone_when_silent,
+                               .unexplained_silences = unexplained};
   this->AddCrash(*run.step, run.task.index,
                  {.run = run.run_number,
                   .survived = run.survived,
-                  .alone = unproven && restarted && run.alone_when_silent &&
-                           unexplained == 0},
-                 time);
+                  .alone = unproven && IsOnlyExplanation(evidence)},
+                 evidence, time);
 }
 
 void PoolPlanner::AddCrash(StepState& step, uint32_t index,
-                           const CrashedRun& crash, const PlannerTime& time) {
+                           const CrashedRun& crash,
+                           const CrashEvidence& evidence,
+                           const PlannerTime& time) {
   TaskState& task = step.tasks[index];
   const bool known = std::any_of(
       task.crashed_runs.begin(), task.crashed_runs.end(),
@@ -134,10 +141,13 @@
   const CrashVerdict verdict = JudgeCrashes(task.crashed_runs);
   this->log.Add(
       time.now, "task lost its worker",
-      "task={} run={} survived_ms={} alone={} crashes={} verdict=\"{}\"",
+      "task={} run={} survived_ms={} alone={} restarted={} alone_on_worker={} "
+      "unexplained_silences={} crashes={} verdict=\"{}\"",
       ToString(TaskName{job.job.id, step.occurrence, step.step_index, index}),
       crash.run, base::ToMilliseconds(crash.survived), crash.alone,
-      task.crashed_runs.size(), CrashVerdictName(verdict));
+      evidence.restarted, evidence.alone_on_worker,
+      evidence.unexplained_silences, task.crashed_runs.size(),
+      CrashVerdictName(verdict));
   if (verdict == CrashVerdict::kGivenUp) {
     ++this->totals.jobs_failed_for_crashes;
     this->FinishJob(job, JobPhase::kFailed, time);
@@ -180,7 +190,7 @@
     const bool accounted_for =
         task.current_run != nullptr || task.ended_run >= task.at_risk_run;
     if (accounted_for) continue;
-    this->AddCrash(*step, name.index, {.run = task.at_risk_run}, time);
+    this->AddCrash(*step, name.index, {.run = task.at_risk_run}, {}, time);
   }
 }
 
--- a/src/agatepass/pool/planner_trials.cpp
+++ b/src/agatepass/pool/planner_trials.cpp
@@ -140,12 +140,14 @@
   for (const auto& [task, number] : on_probation) {
     RunState& run = *this->FindRun(task, number);
     if (run.on_trial && run.survived >= TrialTimeOf(run)) {
-      this->log.Add(time.now, "trial ended",
-                    "task={} run={} worker={} survived_ms={} probation_ms={}",
-                    ToString(task), number, run.worker->record.worker.value,
-                    base::ToMilliseconds(run.survived),
-                    base::ToMilliseconds(ProbationOf(run)));
       this->EndTrial(run);
+      if (IsUnproven(run)) {
+        this->log.Add(time.now, "trial ended before probation",
+                      "task={} run={} worker={} survived_ms={} probation_ms={}",
+                      ToString(task), number, run.worker->record.worker.value,
+                      base::ToMilliseconds(run.survived),
+                      base::ToMilliseconds(ProbationOf(run)));
+      }
     }
     if (!IsUnproven(run)) {
       this->EndProbation(run);
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -209,18 +209,22 @@
   this->RecordSilence(worker, time.now);
   if (worker.unanswered_calls == kUnansweredCallsToLog) {
     this->log.Add(time.now, "worker unresponsive",
-                  "worker={} last_answer_ms={} runs={} unproven_jobs={}",
+                  "worker={} last_answer_ms={} runs={} unproven_jobs={} "
+                  "unexplained={} synced={}",
                   worker.record.worker.value,
                   base::ToMilliseconds(time.now - worker.last_answer_at),
-                  worker.runs.size(), CountUnprovenJobs(worker));
+                  worker.runs.size(), CountUnprovenJobs(worker),
+                  worker.silence && worker.silence->unexplained, worker.synced);
   }
 }
 
 void PoolPlanner::ForgetIncarnation(WorkerState& worker,
                                     const PlannerTime& time) {
-  this->log.Add(time.now, "worker incarnation changed", "worker={} runs={}",
-                worker.record.worker.value, worker.runs.size());
   this->RecordSilence(worker, time.now);
+  this->log.Add(time.now, "worker incarnation changed",
+                "worker={} runs={} unexplained={} synced={}",
+                worker.record.worker.value, worker.runs.size(),
+                worker.silence->unexplained, worker.synced);
   worker.silence->over = true;
   worker.fence =
       FenceOfIncarnation(this->options.fence, ++worker.former_incarnations);
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -23,6 +23,7 @@
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
 #include "agatepass/pool/advice_choice.h"
+#include "agatepass/pool/crash_evidence.h"
 #include "agatepass/pool/crash_watch.h"
 #include "agatepass/pool/job.h"
 #include "agatepass/pool/memory_budget.h"
@@ -416,7 +417,7 @@
                    const PlannerTime& time);
   /** Adds a crash to the task's history and judges the task. */
   void AddCrash(StepState& step, uint32_t index, const CrashedRun& crash,
-                const PlannerTime& time);
+                const CrashEvidence& evidence, const PlannerTime& time);
   /** Forgets the crashes under a task, as it is proven harmless.
    * \param run the run that proves it. */
   void ClearSuspicion(StepState& step, uint32_t index, RunNumber run,
--- /dev/null
+++ b/src/agatepass/pool/tests/crash_evidence_test.cpp
@@ -0,0 +1,86 @@
+// What explains the loss of a worker beside the run that is judged: a worker
+// that falls silent at the same time, but not one that comes back.
+#include "agatepass/pool/crash_evidence.h"
+
+#include "agatepass/pool/tests/planner_fixture.h"
+
+namespace agatepass::pool {
+namespace {
+
+using fakes::MakePoolJob;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int64_t kFormer = 5000;
+constexpr int64_t kCurrent = 65'000;
+
+/** The only task of "a" runs on w0, which crashes soon after its start. */
+class CrashEvidenceTest : public PlannerFixture {
+ protected:
+  void StartOnW0BesideW1() {
+    this->Load();
+    this->ListWorker("w1", kFormer);
+    this->StartOnW0(kFormer);
+  }
+
+  /** w0 is back as another incarnation, without the run. */
+  void CrashW0() {
+    this->ListWorker("w0", kCurrent);
+    this->RunFor(kStep);
+    while (!this->syncs.empty()) {
+      const SyncRequest sync = this->syncs.front();
+      this->syncs.erase(this->syncs.begin());
+      if (sync.worker != base::WorkerId("w0")) continue;
+      this->AnswerSync(sync, kCurrent, {}, {}, 500);
+    }
+  }
+
+  void ExpectBlamedAlone(uint64_t alone) {
+    EXPECT_EQ(this->planner.counts().crashes_alone, alone);
+    EXPECT_EQ(this->planner.counts().crashes_suspected, 1 - alone);
+  }
+};
+
+TEST_F(CrashEvidenceTest, AWorkerThatFallsSilentAtTheSameTimeExplainsACrash) {
+  this->StartOnW0BesideW1();
+  this->AnswerSync(this->TakeSync("w1"), kFormer);
+  this->RunFor(kStep);
+  this->planner.OnSync(this->TakeSync("w1"), {}, this->time);
+  this->CrashW0();
+  this->ExpectBlamedAlone(0);
+}
+
+// Guards against taking the return of a worker that this planner has not
+// reached before for a silence: in a storm of crashes each of them would excuse
+// others.
+TEST_F(CrashEvidenceTest,
+       TheReturnOfAWorkerThatWasNeverReachedExplainsNothing) {
+  this->StartOnW0BesideW1();
+  this->ListWorker("w1", kCurrent);
+  this->CrashW0();
+  this->ExpectBlamedAlone(1);
+}
+
+// Guards against the same for the first call to a worker that is back, which
+// may fail on a connection of its former incarnation.
+TEST_F(CrashEvidenceTest, AFailedFirstCallToAWorkerThatIsBackExplainsNothing) {
+  this->StartOnW0BesideW1();
+  this->AnswerSync(this->TakeSync("w1"), kFormer);
+  this->RunFor(seconds(1));
+  this->ListWorker("w1", kCurrent);
+  this->RunFor(seconds(1));
+  while (!this->syncs.empty()) {
+    const SyncRequest sync = this->syncs.front();
+    this->syncs.erase(this->syncs.begin());
+    if (sync.worker == base::WorkerId("w1")) {
+      this->planner.OnSync(sync, {}, this->time);
+    } else {
+      this->AnswerSync(sync, kFormer, {{this->task, 1}}, {}, 1210);
+    }
+  }
+  this->CrashW0();
+  this->ExpectBlamedAlone(1);
+}
+
+}  // namespace
+}  // namespace agatepass::pool
--- a/src/agatepass/pool/worker_state.h
+++ b/src/agatepass/pool/worker_state.h
@@ -46,8 +46,8 @@
   base::Instant since;
   /** Whether another incarnation has answered since. */
   bool over = false;
-  /** Whether no unproven run was there that could be the cause, and the worker
-   * had not announced its shutdown. */
+  /** Whether no unproven run was there that could be the cause, the worker was
+   * synced before, and had not announced its shutdown. */
   bool unexplained = false;
 };
 
