Excuse a crash by a common cause, not by any worker that falls silent meanwhile

Cause: one unexplained silence anywhere in the pool excused every crash within 250 ms.

Change: HasCommonCause asks for a silence in the same rack, or of a fiftieth of the pool, which is one worker in pools of up to 50 as before. BlameQueues, which had a copy of the rule, uses it too. The log has the inputs and the answer.

CommonCause.IsLikelyForANeighbourOrAPartOfThePool and CrashEvidenceTest.OneOfManyThatFallsSilentMeanwhileExplainsNothing failed with the share set to 0, which is the rule before.

--- a/src/agatepass/pool/crash_evidence.cpp
+++ b/src/agatepass/pool/crash_evidence.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/** Share of the workers from which silences at the same time have a common
+ * cause, wherever the workers are. */
+constexpr double kCommonCauseShare = 0.02;
+
 /** Returns the crashes under the run's task; none if no job needs the run. */
 std::span<const CrashedRun> CrashesUnderTask(const RunState& run) {
   if (run.step == nullptr) return {};
@@ -18,9 +22,16 @@
 
 }  // namespace
 
+bool HasCommonCause(const SilencesAtOnce& silences, size_t pool_size) {
+  if (silences.workers == 0) return false;
+  return silences.in_same_rack ||
+         static_cast<double>(silences.workers) >=
+             kCommonCauseShare * static_cast<double>(pool_size);
+}
+
 bool IsOnlyExplanation(const CrashEvidence& evidence) {
   return evidence.restarted && evidence.alone_on_worker &&
-         evidence.unexplained_silences == 0;
+         !evidence.has_common_cause;
 }
 
 base::Duration ProbationOf(const RunState& run) {
--- a/src/agatepass/pool/crash_evidence.h
+++ b/src/agatepass/pool/crash_evidence.h
@@ -16,6 +16,20 @@
  * same time. */
 inline constexpr base::Duration kSameTime = std::chrono::milliseconds(250);
 
+/** Workers that fell silent at the same time as another one, without a run that
+ * could be the cause. */
+struct SilencesAtOnce {
+  size_t workers = 0;
+  /** Whether one of them is in the other one's rack. */
+  bool in_same_rack = false;
+};
+
+/** Whether a common cause is likely, such as a rack, a power cut or a cut
+ * network: a neighbour fell silent too, or a part of the pool. In a large pool
+ * a few workers fall silent at any time.
+ * \param pool_size number of workers in the pool. */
+bool HasCommonCause(const SilencesAtOnce& silences, size_t pool_size);
+
 /** What is known of the loss of a worker, beside the run that is judged. */
 struct CrashEvidence {
   /** Whether the worker is known to have restarted; otherwise it may only be
@@ -23,9 +37,9 @@
   bool restarted = false;
   /** Whether all runs that were unproven there were of the run's job. */
   bool alone_on_worker = false;
-  /** Number of workers that fell silent at the same time without a run that
-   * could be the cause. */
-  size_t unexplained_silences = 0;
+  /** The other losses at the time, and whether they have a common cause. */
+  SilencesAtOnce silences;
+  bool has_common_cause = false;
 };
 
 /** Whether nothing but the run that is judged explains the loss. */
--- a/src/agatepass/pool/planner_crashes.cpp
+++ b/src/agatepass/pool/planner_crashes.cpp
@@ -53,18 +53,6 @@
 }
 
 void PoolPlanner::BlameQueues(base::Instant now) {
-  if (this->unblamed_silences.empty()) return;
-  std::vector<base::Instant> unexplained;
-  for (const auto& [id, worker] : this->workers) {
-    if (worker->silence && worker->silence->unexplained)
-      unexplained.push_back(worker->silence->since);
-  }
-  std::sort(unexplained.begin(), unexplained.end());
-  const auto has_unexplained_near = [&unexplained](base::Instant at) {
-    const auto next = std::lower_bound(unexplained.begin(), unexplained.end(),
-                                       at - kSameTime);
-    return next != unexplained.end() && *next <= at + kSameTime;
-  };
   std::erase_if(this->unblamed_silences, [&](const UnblamedSilence& entry) {
     const auto found = this->workers.find(entry.worker);
     if (found == this->workers.end()) return true;
@@ -74,7 +62,10 @@
     const bool is_confirmed = worker.silence->over ||
                               worker.unanswered_calls >= kCallsToConfirmSilence;
     if (!is_confirmed || now < entry.at + kSameTime) return false;
-    if (has_unexplained_near(entry.at)) return true;
+    if (HasCommonCause(this->FindUnexplainedSilences(worker, entry.at),
+                       this->workers.size())) {
+      return true;
+    }
     for (const std::string& queue : entry.queues) {
       const bool before = this->crash_watch.IsContained(queue, now);
       this->crash_watch.OnCrash(
@@ -87,13 +78,19 @@
   });
 }
 
-size_t PoolPlanner::CountUnexplainedSilences(base::Instant at) const {
-  return static_cast<size_t>(std::count_if(
-      this->workers.begin(), this->workers.end(), [&](const auto& entry) {
-        const std::optional<WorkerSilence>& silence = entry.second->silence;
-        return silence && silence->unexplained &&
-               std::chrono::abs(silence->since - at) <= kSameTime;
-      }));
+SilencesAtOnce PoolPlanner::FindUnexplainedSilences(const WorkerState& worker,
+                                                    base::Instant at) const {
+  SilencesAtOnce found;
+  for (const auto& [id, other] : this->workers) {
+    const std::optional<WorkerSilence>& silence = other->silence;
+    if (!silence || !silence->unexplained) continue;
+    if (std::chrono::abs(silence->since - at) > kSameTime) continue;
+    ++found.workers;
+    const bool is_neighbour =
+        other.get() != &worker && !other->rack.value.empty();
+    if (is_neighbour && other->rack == worker.rack) found.in_same_rack = true;
+  }
+  return found;
 }
 
 void PoolPlanner::RecordCrash(const RunState& run, bool restarted,
@@ -112,13 +109,16 @@
   }
   const bool unproven = IsUnproven(run);
   if (!unproven) run.step->tasks[run.task.index].proven = true;
-  const size_t unexplained = this->CountUnexplainedSilences(silent_at);
+  const SilencesAtOnce silences =
+      this->FindUnexplainedSilences(*run.worker, silent_at);
   // A proven run counts only if its worker's silence is the only one at that
   // time that no unproven run explains.
-  if (!unproven && !(restarted && unexplained == 1)) return;
-  const CrashEvidence evidence{.restarted = restarted,
-                               .alone_on_worker = run.alone_when_silent,
-                               .unexplained_silences = unexplained};
+  if (!unproven && !(restarted && silences.workers == 1)) return;
+  const CrashEvidence evidence{
+      .restarted = restarted,
+      .alone_on_worker = run.alone_when_silent,
+      .silences = silences,
+      .has_common_cause = HasCommonCause(silences, this->workers.size())};
   this->AddCrash(*run.step, run.task.index,
                  {.run = run.run_number,
                   .survived = run.survived,
@@ -142,11 +142,11 @@
   this->log.Add(
       time.now, "task lost its worker",
       "task={} run={} survived_ms={} alone={} restarted={} alone_on_worker={} "
-      "unexplained_silences={} crashes={} verdict=\"{}\"",
+      "unexplained_silences={} common_cause={} crashes={} verdict=\"{}\"",
       ToString(TaskName{job.job.id, step.occurrence, step.step_index, index}),
       crash.run, base::ToMilliseconds(crash.survived), crash.alone,
-      evidence.restarted, evidence.alone_on_worker,
-      evidence.unexplained_silences, task.crashed_runs.size(),
+      evidence.restarted, evidence.alone_on_worker, evidence.silences.workers,
+      evidence.has_common_cause, task.crashed_runs.size(),
       CrashVerdictName(verdict));
   if (verdict == CrashVerdict::kGivenUp) {
     ++this->totals.jobs_failed_for_crashes;
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -282,7 +282,7 @@
                 worker.record.worker.value, lost.size(),
                 CountUnprovenJobs(worker), worker.silence.has_value(),
                 base::ToMilliseconds(time.now - silent_at),
-                this->CountUnexplainedSilences(silent_at),
+                this->FindUnexplainedSilences(worker, silent_at).workers,
                 restarted ? "another worker incarnation answers at its address"
                           : "worker lease expired");
   for (RunState* run : lost) {
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -403,9 +403,12 @@
    * incarnation, unless that is known already. Its unproven runs are marked as
    * at risk in the store. */
   void RecordSilence(WorkerState& worker, base::Instant now);
-  /** Returns the number of workers that fell silent at this time without a run
-   * that could be the cause: a rack, a power cut, or a cut network. */
-  size_t CountUnexplainedSilences(base::Instant at) const;
+  /** Returns the workers that fell silent at this time without a run that could
+   * be the cause.
+   * \param worker the one that is judged; it counts itself if no run there
+   * could be the cause. */
+  SilencesAtOnce FindUnexplainedSilences(const WorkerState& worker,
+                                         base::Instant at) const;
   /** Blames the queues of the jobs with unproven runs on workers that fell
    * silent a moment ago, unless a rack or a network explains the silence. */
   void BlameQueues(base::Instant now);
--- a/src/agatepass/pool/tests/crash_evidence_test.cpp
+++ b/src/agatepass/pool/tests/crash_evidence_test.cpp
@@ -14,6 +14,17 @@
 constexpr int64_t kFormer = 5000;
 constexpr int64_t kCurrent = 65'000;
 
+// Guards against excusing a crash by any worker of a large pool that is lost
+// for another reason meanwhile.
+TEST(CommonCause, IsLikelyForANeighbourOrAPartOfThePool) {
+  EXPECT_FALSE(HasCommonCause({.workers = 0}, 6));
+  EXPECT_TRUE(HasCommonCause({.workers = 1}, 6));
+  EXPECT_TRUE(HasCommonCause({.workers = 1}, 50));
+  EXPECT_FALSE(HasCommonCause({.workers = 5}, 1000));
+  EXPECT_TRUE(HasCommonCause({.workers = 20}, 1000));
+  EXPECT_TRUE(HasCommonCause({.workers = 1, .in_same_rack = true}, 1000));
+}
+
 /** The only task of "a" runs on w0, which crashes soon after its start. */
 class CrashEvidenceTest : public PlannerFixture {
  protected:
@@ -50,6 +61,19 @@
   this->ExpectBlamedAlone(0);
 }
 
+TEST_F(CrashEvidenceTest, OneOfManyThatFallsSilentMeanwhileExplainsNothing) {
+  constexpr int kOthers = 200;
+  for (int i = 0; i < kOthers; ++i) {
+    this->ListWorker("x" + std::to_string(i), kFormer);
+  }
+  this->StartOnW0BesideW1();
+  this->AnswerSync(this->TakeSync("w1"), kFormer);
+  this->RunFor(kStep);
+  this->planner.OnSync(this->TakeSync("w1"), {}, this->time);
+  this->CrashW0();
+  this->ExpectBlamedAlone(1);
+}
+
 // Guards against taking the return of a worker that this planner has not
 // reached before for a silence: in a storm of crashes each of them would excuse
 // others.
