Take the answer to a start for a beginning, whichever incarnation is known by then

What callers would see: a crash that is not counted against its task, and a job that has begun and counts as pending.

Cause: since each incarnation has a fence of its own, OnStart dropped the answer to a start if the worker's next incarnation was known before the answer was read. The answer says that the run had begun; only its clock is useless. Found by reading the diff.

Change: the confirmation and the job's phase are noted first, then answers to former calls are left out.

--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -299,6 +299,10 @@
   if (reply.result == WorkerCallResult::kFenced)
     this->HandleFenced(worker.record.worker, run->fence, time);
   if (this->superseded) return;
+  if (reply.result == WorkerCallResult::kDone) {
+    run->start_confirmed_at = time.now;
+    if (run->step != nullptr) run->step->job->MarkBegun();
+  }
   // Any incarnation may have answered; the next sync shows what the current one
   // has of the run.
   if (worker.WasForFormerIncarnation(run->fence)) return;
@@ -307,8 +311,6 @@
   if (reply.result == WorkerCallResult::kDone) {
     if (run->phase == RunPhase::kStartRequested)
       run->phase = RunPhase::kRunning;
-    run->start_confirmed_at = time.now;
-    if (run->step != nullptr) run->step->job->MarkBegun();
     if (!run->confirmed_clock_ms)
       run->confirmed_clock_ms = reply.worker_clock_ms;
     return;
--- a/src/agatepass/pool/tests/crash_evidence_test.cpp
+++ b/src/agatepass/pool/tests/crash_evidence_test.cpp
@@ -106,5 +106,23 @@
   this->ExpectBlamedAlone(1);
 }
 
+// Guards against a crash that counts for nothing, as the worker's entry came
+// before its answer to the start.
+TEST_F(CrashEvidenceTest, AnAnswerToAStartCountsAfterTheWorkerIsBack) {
+  this->Load();
+  this->ListWorker("w0", kFormer);
+  this->RunFor(kStep);
+  this->AnswerSync(this->TakeSync("w0"), kFormer);
+  this->Submit(MakePoolJob("a", 1, 1000, seconds(5)));
+  this->RunFor(milliseconds(200));
+  ASSERT_EQ(this->starts.size(), 1U);
+  this->ListWorker("w0", kCurrent);
+  this->planner.OnStart(
+      this->task, 1,
+      {.result = WorkerCallResult::kDone, .worker_clock_ms = 1200}, this->time);
+  this->CrashW0();
+  EXPECT_EQ(this->planner.counts().crashes_suspected, 1U);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
