Log by what a planner takes a lease of an earlier term for over

What callers saw: tasks that ran twice after a takeover; the logs could not tell the hypotheses of the incident apart.

Cause: worker synced had the lease and the start time, but not the time of day that they were compared by; nothing said when work of earlier terms was let go, beside which workers; a run that was given up did not say whether its start was answered, or whether any list of its worker had shown it.

Change: worker synced has wall_ms and former_incarnations; run given up has acknowledged and listed; one line a term, jobs of earlier terms may start, names the workers that were not synced, bounded to 200 characters. No decision changes: RunState.listed is only logged.

--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -145,11 +145,13 @@
   if (!std::exchange(worker.synced, true)) {
     this->BoundInheritedLease(worker, time);
     this->log.Add(time.now, "worker synced",
-                  "worker={} running={} ended={} started_at_ms={} clock_ms={} "
-                  "fence={} lease_expires_ms={} former_entry={}",
+                  "worker={} running={} ended={} started_at_ms={} wall_ms={} "
+                  "clock_ms={} fence={} former_incarnations={} "
+                  "lease_expires_ms={} former_entry={}",
                   request.worker.value, reply.running.size(),
-                  reply.ended.size(), reply.started_at_ms,
+                  reply.ended.size(), reply.started_at_ms, time.wall_ms,
                   reply.worker_clock_ms, request.fence,
+                  worker.former_incarnations,
                   base::ToMilliseconds(worker.lease_expires_at - time.now),
                   worker.HasFormerRecord());
   }
@@ -237,6 +239,7 @@
     if (!run->confirmed_clock_ms)
       run->confirmed_clock_ms = reply.worker_clock_ms;
     run->worker_restarted = false;
+    run->listed = true;
     if (run->step != nullptr) run->step->job->MarkBegun();
     this->CheckProgress(*run, report.percent, time);
     if (run->step != nullptr && !report.checkpoint.empty()) {
@@ -313,6 +316,7 @@
   run.phase = RunPhase::kRunning;
   run.start_requested_at = time.now;
   run.start_confirmed_at = time.now;
+  run.listed = true;
   run.fence = worker.fence;
   run.confirmed_clock_ms = worker.clock_ms;
   run.last_progress = {report.percent, time.now};
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -1,5 +1,6 @@
 // Workers: records, leases, stops and incarnations.
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "agatepass/pool/crash_evidence.h"
@@ -22,6 +23,9 @@
  * expired, are looked for. */
 constexpr base::Duration kWorkerCheckPeriod = std::chrono::milliseconds(25);
 
+/** Length of a list of workers from which on no more are logged. */
+constexpr size_t kMaxLoggedIdsLength = 200;
+
 /** Prefix of labels that name a rack; other labels name the kind of worker. */
 constexpr char kRackPrefix = 'r';
 
@@ -243,6 +247,7 @@
   worker.next_sync = time.now;
   for (RunState* run : worker.runs) {
     run->worker_restarted = true;
+    run->listed = false;
     run->confirmed_clock_ms.reset();
   }
 }
@@ -288,12 +293,14 @@
   for (RunState* run : lost) {
     this->log.Add(time.now, "run given up",
                   "task={} run={} worker={} phase={} percent={} "
-                  "last_answer_ms={} run_ms={} survived_ms={} on_trial={}",
+                  "last_answer_ms={} run_ms={} acknowledged={} listed={} "
+                  "survived_ms={} on_trial={}",
                   ToString(run->task), run->run_number,
                   worker.record.worker.value, static_cast<int>(run->phase),
                   run->last_progress.percent,
                   base::ToMilliseconds(time.now - worker.last_answer_at),
                   base::ToMilliseconds(silent_at - run->start_requested_at),
+                  IsAcknowledged(*run), run->listed,
                   base::ToMilliseconds(run->survived), run->on_trial);
     // The lease of a worker that was never silent ran out because this planner
     // was late.
@@ -381,6 +388,25 @@
       });
 }
 
+void PoolPlanner::LogEndOfEarlierTerms(base::Instant now) {
+  if (this->end_of_earlier_terms_logged || !this->CanStartInheritedJobs(now))
+    return;
+  this->end_of_earlier_terms_logged = true;
+  std::string unsynced;
+  for (const base::WorkerId& id : this->unsynced_workers) {
+    if (unsynced.size() > kMaxLoggedIdsLength) break;
+    const auto found = this->workers.find(id);
+    const bool listed = found != this->workers.end() && found->second->listed;
+    unsynced += (unsynced.empty() ? "" : ",") + id.value;
+    unsynced += listed ? "" : "(unlisted)";
+  }
+  this->log.Add(now, "jobs of earlier terms may start",
+                "fence={} after_ms={} unsynced={} workers=\"{}\"",
+                this->options.fence,
+                base::ToMilliseconds(now - this->term_started_at),
+                this->unsynced_workers.size(), unsynced);
+}
+
 bool PoolPlanner::IsKnownToLive(const WorkerState& worker,
                                 base::Instant now) const {
   return worker.listed && this->workers_confirmed_at &&
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -228,6 +228,7 @@
     this->CheckLeadership(time.now);
     this->CheckCapacityReports(time.now);
     this->CheckWorkers(time);
+    this->LogEndOfEarlierTerms(time.now);
     this->DropUnlistedUnsyncedWorkers(time.now);
     this->CountInheritedRisks(time);
     this->SendStops(time);
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -385,6 +385,9 @@
   /** Whether no run of an earlier term can be left on a worker that was not
    * synced in this term. */
   bool CanStartInheritedJobs(base::Instant now) const;
+  /** Logs, once in the term, that jobs of earlier terms may start, and which
+   * workers were not synced by then. */
+  void LogEndOfEarlierTerms(base::Instant now);
   /** Whether the store lists the worker, which reports there all the time: if
    * it does not answer, only the way to it is cut. */
   bool IsKnownToLive(const WorkerState& worker, base::Instant now) const;
@@ -660,6 +663,8 @@
   /** When the leases of earlier terms have expired everywhere: runs on workers
    * that no sync of this term reaches have ended by then. */
   base::Instant inherited_runs_expire_at;
+  /** Whether it is logged that jobs of earlier terms may start. */
+  bool end_of_earlier_terms_logged = false;
   /** Workers of earlier terms that have not been synced in this term. */
   std::set<base::WorkerId> unsynced_workers;
   std::map<base::JobId, std::unique_ptr<JobState>> jobs;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -57,6 +57,10 @@
   WorkerState* worker = nullptr;
   /** The step it belongs to; null if no known job needs the run. */
   StepState* step = nullptr;
+  /** Whether its worker has listed it in an answer to its own fence, since a
+   * restart became known: the incarnation that the planner knows has begun it.
+   */
+  bool listed = false;
   /** What it takes of its worker's capacity. */
   platform::Resources taken;
   base::Instant start_requested_at;
