Show that a successor gives up runs on workers that have just started again

What callers saw: a task ran twice at the same time, or was started again after it had succeeded.

The loop that lets w1 alone answer was written twice; it is a function of the fixture now.

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -90,10 +90,15 @@
 
 PoolCell::~PoolCell() = default;
 
+int64_t PoolCell::GetWallMs() const {
+  return kUnixMsAtTimeZero +
+         base::ToMilliseconds(this->current_time.time_since_epoch());
+}
+
 pool::PlannerTime PoolCell::GetPlannerTime() const {
-  return {this->current_time,
-          kUnixMsAtTimeZero +
-              base::ToMilliseconds(this->current_time.time_since_epoch())};
+  return {
+      this->current_time,
+      this->GetWallMs() + base::ToMilliseconds(this->faults.wall_clock_error)};
 }
 
 void PoolCell::Schedule(base::Duration delay, std::function<void()> action) {
@@ -161,7 +166,7 @@
   PoolWorker& worker = *this->workers[index];
   const auto lost_runs = worker.GetRuns();
   this->lost_run_count += static_cast<int>(lost_runs.size());
-  worker.Crash(this->GetPlannerTime().wall_ms);
+  worker.Crash(this->GetWallMs());
   this->restarting_workers.insert(worker.record.worker);
   this->Schedule(this->restart_duration,
                  [this, index, id = worker.record.worker] {
@@ -243,8 +248,8 @@
   this->Schedule(remaining, [this, index] {
     PoolWorker& worker = *this->workers[index];
     this->shut_down_workers.insert(worker.record.worker);
-    this->EndLostRuns(worker, worker.ShutDown(this->current_time,
-                                              this->GetPlannerTime().wall_ms));
+    this->EndLostRuns(worker,
+                      worker.ShutDown(this->current_time, this->GetWallMs()));
     this->UnlistWorker(index);
   });
 }
@@ -257,6 +262,11 @@
   }
 }
 
+void PoolCell::RelistWorker(size_t index) {
+  this->unlisted_workers.erase(this->workers[index]->record.worker);
+  this->ReportWorker(index);
+}
+
 void PoolCell::Submit(pool::Job job) {
   this->submitted.try_emplace(job.id, job);
   if (pool::PoolPlanner* planner = this->planner()) {
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -51,6 +51,8 @@
   /** Planner processes that are partly cut off, by their fence: the first
    * planner of the pool has fence 1, each later one the next higher. */
   std::map<pool::Fence, PlannerCutOff> planner_cut_offs;
+  /** How far the planners' time of day is ahead of that of the workers. */
+  base::Duration wall_clock_error{0};
   /** Whether the workers' entries in the store reach no planner. */
   bool reports_lost = false;
   /** Time that a planner takes to handle an answer of a worker or of the advice
@@ -102,6 +104,8 @@
   void DrainWorker(size_t index, base::Duration remaining);
   /** The leader and all later planners see the worker as not listed. */
   void UnlistWorker(size_t index);
+  /** Ends what UnlistWorker() began. */
+  void RelistWorker(size_t index);
 
   /** Queue configuration for planners that start from now on; change it only
    * before the first job is submitted, because the checks apply the number of
@@ -184,6 +188,8 @@
     base::Instant answer_by;
   };
 
+  /** Returns the workers' time of day in Unix milliseconds. */
+  int64_t GetWallMs() const;
   pool::PlannerTime GetPlannerTime() const;
   /** Lets the planner handle an answer once it has handled those before. */
   void HandleInTurn(PlannerProcess& planner, std::function<void()> handle);
--- a/src/agatepass/pool/tests/worker_fence_test.cpp
+++ b/src/agatepass/pool/tests/worker_fence_test.cpp
@@ -3,6 +3,7 @@
 #include "agatepass/pool/worker_fence.h"
 
 #include <limits>
+#include <utility>
 
 #include "agatepass/pool/tests/planner_fixture.h"
 
@@ -33,6 +34,21 @@
   void AnswerAsCurrent() {
     this->AnswerSync(this->TakeSync("w0"), kCurrent, {}, {}, 500);
   }
+
+  /** Lets time pass in which w1 answers, and nothing comes from w0. */
+  void RunWithW1Alone(base::Duration duration) {
+    constexpr base::Duration kAnswerDelay = milliseconds(100);
+    for (base::Duration passed{0}; passed < duration; passed += kAnswerDelay) {
+      this->RunFor(kAnswerDelay);
+      for (const SyncRequest& sync : std::exchange(this->syncs, {})) {
+        if (sync.worker == base::WorkerId("w1")) {
+          this->AnswerSync(sync, 1, {}, {}, 100'000);
+        } else {
+          this->planner.OnSync(sync, {}, this->time);
+        }
+      }
+    }
+  }
 };
 
 // Guards against starts on an incarnation that may still carry out a sync of
@@ -77,26 +93,9 @@
       this->task, 2,
       {.result = WorkerCallResult::kDone, .worker_clock_ms = 900}, this->time);
   this->starts.clear();
-  // Nothing comes from w0 any more.
-  const auto answer_w1 = [this] {
-    std::erase_if(this->syncs, [this](const SyncRequest& sync) {
-      if (sync.worker == base::WorkerId("w1")) {
-        this->AnswerSync(sync, 1, {}, {}, 100'000);
-      } else {
-        this->planner.OnSync(sync, {}, this->time);
-      }
-      return true;
-    });
-  };
-  for (int i = 0; i < 95; ++i) {
-    this->RunFor(milliseconds(100));
-    answer_w1();
-  }
+  this->RunWithW1Alone(milliseconds(9500));
   EXPECT_EQ(this->starts.size(), 0U);
-  for (int i = 0; i < 20; ++i) {
-    this->RunFor(milliseconds(100));
-    answer_w1();
-  }
+  this->RunWithW1Alone(seconds(2));
   ASSERT_EQ(this->starts.size(), 1U);
   EXPECT_EQ(this->starts[0].worker, base::WorkerId("w1"));
 }
@@ -161,31 +160,57 @@
   EXPECT_EQ(this->starts.size(), 1U);
 }
 
+/** A worker whose former incarnation is known to nobody any more: a planner has
+ * just begun its term. Its argument is how far, in milliseconds, the worker's
+ * start time is behind the time of day of the planner's host. */
+class RebornWorkerOfASuccessor : public RebornWorker,
+                                 public testing::WithParamInterface<int64_t> {};
+
 // Guards against a successor that counts on the usual lease of a worker which
-// has just started: its former incarnation is known to nobody any more.
-TEST_F(RebornWorker, IsKnownToASuccessorByItsStartTime) {
-  constexpr int64_t kJustNow = kWallMs - 2000;
+// has just started, as by its own time of day that was long ago.
+TEST_P(RebornWorkerOfASuccessor, KeepsItsRunsWhateverTheTimeOfDay) {
+  const int64_t start = kWallMs - GetParam();
   const Job job = MakePoolJob("a", 1, 1000, seconds(30));
   this->Load({{job, JobProgress{.phase = JobPhase::kRunning}}}, {"w0"});
-  this->ListWorker("w0", kJustNow);
+  this->ListWorker("w0", start);
   this->ListWorker("w1", 1);
   this->RunFor(kStep);
   this->AnswerSync(this->TakeSync("w1"), 1, {}, {}, 100'000);
-  this->AnswerSync(this->TakeSync("w0"), kJustNow, {{this->task, 1}}, {}, 2000);
-  for (int i = 0; i < 95; ++i) {
-    this->RunFor(milliseconds(100));
-    while (!this->syncs.empty()) {
-      const SyncRequest sync = this->syncs.front();
-      this->syncs.erase(this->syncs.begin());
-      if (sync.worker == base::WorkerId("w1")) {
-        this->AnswerSync(sync, 1, {}, {}, 100'000);
-      } else {
-        this->planner.OnSync(sync, {}, this->time);
-      }
-    }
-  }
+  this->AnswerSync(this->TakeSync("w0"), start, {{this->task, 1}}, {}, 2000);
+  this->RunWithW1Alone(milliseconds(9500));
+  EXPECT_EQ(this->starts.size(), 0U);
+  this->RunWithW1Alone(seconds(2));
+  EXPECT_EQ(this->starts.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(StartTimes, RebornWorkerOfASuccessor,
+                         testing::Values(2000, 62'000, 602'000, 31'536'000'000,
+                                         -58'000, -600'000));
+
+// Guards against a successor that counts on the usual lease of a worker which
+// it never reaches: a call to a former incarnation may have brought a longer
+// one just before the last renewal of an earlier planner.
+TEST_F(RebornWorker, HoldsWorkOfEarlierTermsIfASuccessorNeverReachesIt) {
+  const Job job = MakePoolJob("a", 1, 1000, seconds(30));
+  this->Load({{job, JobProgress{.phase = JobPhase::kRunning}}}, {"w0"});
+  this->ListWorker("w1", 1);
+  this->RunFor(kStep);
+  this->RunWithW1Alone(milliseconds(12'000));
+  EXPECT_EQ(this->starts.size(), 0U);
+  this->RunWithW1Alone(milliseconds(500));
+  EXPECT_EQ(this->starts.size(), 1U);
+}
+
+// Guards against a run that is given up by the lease that its start named,
+// though a next incarnation that nobody knows may have answered the start: to
+// it the start brings the longest lease.
+TEST_F(RebornWorker, KeepsARunThatNoListHasShown) {
+  this->Load();
+  this->StartOnW0(kFormer);
+  this->ListWorker("w1", 1);
+  this->RunWithW1Alone(milliseconds(9500));
   EXPECT_EQ(this->starts.size(), 0U);
-  this->RunFor(seconds(2));
+  this->RunWithW1Alone(seconds(1));
   EXPECT_EQ(this->starts.size(), 1U);
 }
 
--- a/tests/faults/pool_seeds_test.cpp
+++ b/tests/faults/pool_seeds_test.cpp
@@ -2,6 +2,7 @@
 // For each seed, jobs and faults that may overlap are chosen at random. The
 // invariants are checked at every start of a run and at every acknowledged end,
 // and every stored job must have ended 90 s after the last fault was removed.
+#include <array>
 #include <random>
 #include <string>
 #include <vector>
@@ -204,6 +205,81 @@
   }
 }
 
+/** How far the hosts' time of day may be ahead of the workers'. */
+constexpr std::array<seconds, 7> kWallClockErrors = {
+    seconds(0),  seconds(2),   seconds(-15), seconds(60),
+    seconds(90), seconds(600), seconds(-600)};
+
+void MaybeTakeOver(PoolCell& cell, Draw& draw) {
+  switch (draw(6)) {
+    case 0:
+      cell.KillPlanners(milliseconds(50 + draw(1500)));
+      break;
+    case 1:
+      cell.ReplacePlanner();
+      break;
+    default:
+      break;
+  }
+  cell.RunFor(milliseconds(draw(1200)));
+}
+
+/** Crashes a worker, once or twice, and mostly cuts it off; its entry may lapse
+ * meanwhile. The planner may change before, amid and after all that. */
+void CrashAmidTakeovers(PoolCell& cell, Draw& draw) {
+  const int worker = draw(kWorkers);
+  for (int lives = draw(3) == 0 ? 2 : 1; lives > 0; --lives) {
+    MaybeTakeOver(cell, draw);
+    cell.CrashAndRestartWorker(worker);
+    MaybeTakeOver(cell, draw);
+    cell.RunFor(milliseconds(400 + draw(1500)));
+  }
+  const bool is_cut_off = draw(4) != 0;
+  const bool is_unlisted = is_cut_off && draw(2) == 0;
+  if (draw(2) == 0) cell.KillPlanners(milliseconds(50 + draw(800)));
+  if (is_cut_off) {
+    cell.faults.unreachable_workers.insert(cell.worker(worker).record.worker);
+  }
+  MaybeTakeOver(cell, draw);
+  if (is_unlisted) cell.UnlistWorker(worker);
+  cell.RunFor(milliseconds(2000 + draw(12'000)));
+  MaybeTakeOver(cell, draw);
+  cell.faults.unreachable_workers.clear();
+  if (is_unlisted) cell.RelistWorker(worker);
+}
+
+// A successor knows nothing of the former incarnations of workers, may never
+// reach the current ones, and its time of day may be minutes off.
+class PoolRebornTakeoverSeeds : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(PoolRebornTakeoverSeeds, HoldsInvariantsAndFinishesAllJobs) {
+  constexpr uint64_t kSeedsPerCase = 50;
+  constexpr int kCrashes = 4;
+  for (uint64_t i = 0; i < kSeedsPerCase; ++i) {
+    const uint64_t seed = GetParam() * kSeedsPerCase + i;
+    Draw draw(seed);
+    PoolCell cell(seed, kWorkers);
+    int job = 0;
+    for (int crash = 0; crash < kCrashes; ++crash) {
+      cell.faults.late_sync_share = 0.7;
+      if (draw(3) == 0) cell.faults.late_start_share = 0.2;
+      cell.faults.wall_clock_error =
+          kWallClockErrors[draw(kWallClockErrors.size())];
+      for (int k = draw(4); k >= 0; --k) {
+        pool::Job next = DrawJob(job++, draw);
+        if (draw(3) != 0) next.steps[0].estimate = seconds(5 + draw(15));
+        cell.Submit(next);
+      }
+      cell.RunFor(milliseconds(200 + draw(2000)));
+      CrashAmidTakeovers(cell, draw);
+    }
+    ASSERT_NO_FATAL_FAILURE(CheckOutcome(cell, seed));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Random, PoolRebornTakeoverSeeds,
+                         testing::Range<uint64_t>(0, 20));
+
 INSTANTIATE_TEST_SUITE_P(Random, PoolRebornSeeds,
                          testing::Range<uint64_t>(0, 20));
 
