Call a worker that is listed again under a higher fence than before it was removed

What callers would see: a planner that ends its term for nothing, with all that a takeover costs: a second without a planner, and runs of lost workers that wait.

Cause: a worker that the store does not list and that does not answer is removed with all that was known of it, the number of its former incarnations too. Once it is listed again it is called under the first fence of the term. If it has seen a higher one, for an incarnation in the same term, it refuses, and the planner takes the refusal for a newer planner.

Change: the planner keeps the most incarnations of any worker that was removed; a worker that is listed anew counts as having had one more. One number for all of them, as a record for each id ever removed would grow with the term.

--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -56,7 +56,9 @@
   if (is_first_report) {
     slot = std::make_unique<WorkerState>();
     slot->index = this->workers_by_index.size();
-    slot->fence = FenceOfIncarnation(this->options.fence, 0);
+    slot->former_incarnations = this->incarnations_of_removed;
+    slot->fence =
+        FenceOfIncarnation(this->options.fence, slot->former_incarnations);
     this->workers_by_index.push_back(slot.get());
     slot->next_sync = time.now;
     this->QueueSync(*slot);
@@ -351,6 +353,8 @@
 }
 
 void PoolPlanner::RemoveWorker(WorkerState& worker) {
+  this->incarnations_of_removed =
+      std::max(this->incarnations_of_removed, worker.former_incarnations + 1);
   this->workers_by_index[worker.index] = nullptr;
   std::erase(this->sync_queue, &worker);
   std::erase(this->workers_with_unstored_ends, &worker);
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -718,6 +718,10 @@
   /** Whether the stored roster may name workers that are gone. */
   bool roster_is_stale = false;
   platform::Revision roster_revision = 0;
+  /** Most incarnations that a worker had which was removed. A worker that is
+   * listed anew counts as having had as many, so that one which was removed is
+   * called under a higher fence than before. */
+  uint64_t incarnations_of_removed = 0;
   /** Start times of the settled incarnations of workers (`worker_roster.h`), of
    * this term and the earlier ones. */
   std::map<base::WorkerId, int64_t> settled_incarnations;
--- a/src/agatepass/pool/tests/worker_fence_test.cpp
+++ b/src/agatepass/pool/tests/worker_fence_test.cpp
@@ -2,6 +2,7 @@
 // carry them out until it has seen a fence of its own.
 #include "agatepass/pool/worker_fence.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -214,6 +215,26 @@
   EXPECT_EQ(this->starts.size(), 1U);
 }
 
+// Guards against a worker that has seen a fence of this term, is listed again
+// after it was removed, and refuses the lower fence it is called under: the
+// planner would take that for a newer planner and end its term.
+TEST_F(RebornWorker, IsCalledUnderAHigherFenceOnceItIsListedAgain) {
+  this->Load();
+  this->StartOnW0(kFormer);
+  this->ListWorker("w0", kCurrent);
+  this->RunFor(kStep);
+  Fence highest = 0;
+  for (const SyncRequest& sync : this->syncs)
+    highest = std::max(highest, sync.fence);
+  EXPECT_EQ(highest, FenceOfIncarnation(kTerm, 1));
+  this->planner.OnWorkerUnlisted(base::WorkerId("w0"), this->time);
+  this->RunWithW1Alone(seconds(20));
+  this->syncs.clear();
+  this->ListWorker("w0", kCurrent);
+  this->RunFor(kStep);
+  EXPECT_GT(this->TakeSync("w0").fence, highest);
+}
+
 // Guards against start times, which workers write, that are beyond all reason.
 TEST_F(RebornWorker, MayReportAnyStartTime) {
   this->Load();
--- a/src/agatepass/pool/worker_state.h
+++ b/src/agatepass/pool/worker_state.h
@@ -80,7 +80,8 @@
   /** Start time of its incarnation in Unix milliseconds, as it reported it; 0
    * until then. */
   int64_t started_at_ms = 0;
-  /** Number of its incarnations that this planner knows to be over. */
+  /** Number of its incarnations that this planner knows to be over, or more:
+   * that of another worker which was removed. */
   uint64_t former_incarnations = 0;
   /** Whether its current incarnation has been synced in this term, under its
    * own fence: it carries out no call that was meant for a former one any more.
