Hold work of earlier terms for as long as a worker that is never reached may run it

What callers saw: a task ran twice at the same time, or started again after it had succeeded, where a worker had started again just before a takeover and the next planner never reached it.

Cause: a successor lets work of earlier terms go 8.6 s after the beginning of its term (a lease of 6.6 s and 2 s in which a superseded planner may act) beside workers that it never reaches and the store does not list. A call to a former incarnation may have brought the current one 10 s.

Change: for a worker whose incarnation the roster does not vouch for, or which the store shows to have started again since, the longest lease is counted: 12.2 s. A roster that vouches for an incarnation that is over must not be believed of the next one, so nothing starts on a worker that is back until the roster is written without it: one commit, beside the entry and the round trip that it waits for anyway. All others wait 8.6 s as before, and workers that the store lists, 18.6 s.

What it costs: jobs of earlier terms wait for 3.6 s more if a worker of the roster that began less than 10.2 s before the takeover is lost for good in it.

Two tests meant workers with the usual lease and now say so: the roster of TruncatedEnds.AWorkerThatIsLostDelaysTheStartsOnlyUntilItsLeaseExpires vouches for w0, and the cell of UnreachedWorker runs for 13 s first.

--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -304,14 +304,25 @@
   });
 }
 
+bool PoolPlanner::VouchesForFormer(const WorkerRoster& roster,
+                                   const base::WorkerId& id) const {
+  const auto stored = roster.settled.find(id);
+  if (stored == roster.settled.end()) return false;
+  const auto current = this->settled_incarnations.find(id);
+  return current == this->settled_incarnations.end() ||
+         current->second != stored->second;
+}
+
 void PoolPlanner::FinishRoster(const WorkerRoster& roster,
                                platform::Revision revision) {
   this->roster_revision = revision;
   for (const base::WorkerId& id : roster.workers) {
     const auto worker = this->workers.find(id);
     if (worker == this->workers.end()) continue;
-    worker->second->in_roster = !worker->second->replaced;
-    if (worker->second->replaced) this->roster_is_stale = true;
+    const bool is_current =
+        !worker->second->replaced && !this->VouchesForFormer(roster, id);
+    worker->second->in_roster = is_current;
+    if (!is_current) this->roster_is_stale = true;
   }
 }
 
--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "agatepass/pool/crash_evidence.h"
+#include "agatepass/pool/leadership_evidence.h"
 #include "agatepass/pool/pool_planner.h"
 #include "agatepass/pool/worker_fence.h"
 
@@ -30,6 +31,11 @@
 /** Length of a list of workers from which on no more are logged. */
 constexpr size_t kMaxLoggedIdsLength = 200;
 
+/** Time for which a superseded planner may keep renewing leases and starting
+ * tasks before it knows that it may be superseded. */
+constexpr base::Duration kSupersededPlannerGrace = std::chrono::seconds(2);
+static_assert(LeadershipEvidence::kMaxAge < kSupersededPlannerGrace);
+
 /** Prefix of labels that name a rack; other labels name the kind of worker. */
 constexpr char kRackPrefix = 'r';
 
@@ -63,7 +69,8 @@
     slot->next_sync = time.now;
     this->QueueSync(*slot);
     slot->last_answer_at = time.now;
-    slot->lease_expires_at = this->inherited_runs_expire_at;
+    slot->record = record;
+    slot->lease_expires_at = this->InheritedRunsExpireAt(record.worker);
   } else if (const int64_t known_start = slot->started_at_ms != 0
                                              ? slot->started_at_ms
                                              : slot->record.started_at_ms;
@@ -240,6 +247,12 @@
       FenceOfIncarnation(this->options.fence, ++worker.former_incarnations);
   worker.synced = false;
   worker.settled = false;
+  if (this->settled_incarnations.erase(worker.record.worker) > 0) {
+    // Nothing starts on the next incarnation while the stored roster vouches
+    // for this one.
+    worker.in_roster = false;
+    this->roster_is_stale = true;
+  }
   worker.may_have_restarted = true;
   // The former incarnation leaves a sync in flight without an answer.
   worker.quick_sync_wanted = true;
@@ -380,16 +393,33 @@
   this->roster_is_stale = true;
 }
 
+base::Instant PoolPlanner::EndOfInheritedLease(base::Duration lease) const {
+  return this->term_started_at + this->OnSlowestClock(lease) +
+         kSupersededPlannerGrace;
+}
+
+base::Instant PoolPlanner::InheritedRunsExpireAt(
+    const base::WorkerId& id) const {
+  const auto settled = this->settled_incarnations.find(id);
+  const auto worker = this->workers.find(id);
+  // The store may show that it has started again since.
+  const bool has_usual_lease =
+      settled != this->settled_incarnations.end() &&
+      (worker == this->workers.end() ||
+       worker->second->record.started_at_ms == settled->second);
+  return this->EndOfInheritedLease(has_usual_lease
+                                       ? this->options.worker_lease
+                                       : this->options.max_worker_lease);
+}
+
 void PoolPlanner::DropUnlistedUnsyncedWorkers(base::Instant now) {
-  if (this->unsynced_workers.empty() ||
-      !this->HasExpired(this->inherited_runs_expire_at, now)) {
-    return;
-  }
+  if (this->unsynced_workers.empty()) return;
   // A worker that is not listed by now has no runs that the next planner would
   // have to wait for.
   const size_t size_before = this->unsynced_workers.size();
-  std::erase_if(this->unsynced_workers, [this](const base::WorkerId& id) {
+  std::erase_if(this->unsynced_workers, [&](const base::WorkerId& id) {
     if (this->workers.contains(id)) return false;
+    if (!this->HasExpired(this->InheritedRunsExpireAt(id), now)) return false;
     this->settled_incarnations.erase(id);
     return true;
   });
@@ -398,14 +428,18 @@
 
 bool PoolPlanner::CanStartInheritedJobs(base::Instant now) const {
   if (this->unsynced_workers.empty()) return true;
-  if (!this->HasExpired(this->inherited_runs_expire_at, now)) return false;
+  const base::Instant usual_end =
+      this->EndOfInheritedLease(this->options.worker_lease);
+  if (!this->HasExpired(usual_end, now)) return false;
   // These runs have ended, but a worker that lives may list only later that
   // they have succeeded.
-  const bool may_hold = !this->HasExpired(
-      this->inherited_runs_expire_at + kMaxHoldForLivingWorker, now);
+  const bool may_hold =
+      !this->HasExpired(usual_end + kMaxHoldForLivingWorker, now);
   return std::none_of(
       this->unsynced_workers.begin(), this->unsynced_workers.end(),
       [&](const base::WorkerId& id) {
+        if (!this->HasExpired(this->InheritedRunsExpireAt(id), now))
+          return true;
         const auto found = this->workers.find(id);
         if (found == this->workers.end()) return false;
         const WorkerState& worker = *found->second;
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -12,11 +12,6 @@
 /** Maximum time between two scheduling passes while work waits. */
 constexpr base::Duration kMaxSchedulingInterval = std::chrono::milliseconds(50);
 
-/** Time for which a superseded planner may keep renewing leases and starting
- * tasks before it knows that it may be superseded. */
-constexpr base::Duration kSupersededPlannerGrace = std::chrono::seconds(2);
-static_assert(LeadershipEvidence::kMaxAge < kSupersededPlannerGrace);
-
 }  // namespace
 
 std::string_view RunEndName(RunEnd end) {
@@ -72,11 +67,7 @@
     : options(options),
       log(log),
       memory(options.max_held_bytes),
-      term_started_at(time.now) {
-  this->inherited_runs_expire_at = time.now +
-                                   this->OnSlowestClock(options.worker_lease) +
-                                   kSupersededPlannerGrace;
-}
+      term_started_at(time.now) {}
 
 void PoolPlanner::CheckLeadership(base::Instant now) {
   if (!this->leadership_confirmed_at) return;
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -298,6 +298,10 @@
   void UpdateRevision(const KeyRevision& current, const PlannerTime& time);
   void RetryCommit(const SentCommit& sent, platform::Outcome outcome,
                    const PlannerTime& time);
+  /** Whether the roster names an incarnation of the worker as settled which is
+   * over. */
+  bool VouchesForFormer(const WorkerRoster& roster,
+                        const base::WorkerId& id) const;
   /** Notes which workers the stored roster contains. */
   void FinishRoster(const WorkerRoster& roster, platform::Revision revision);
   void MarkStored(JobState& job, const PlannerTime& time);
@@ -391,6 +395,12 @@
   /** Whether no run of an earlier term can be left on a worker that was not
    * synced in this term. */
   bool CanStartInheritedJobs(base::Instant now) const;
+  /** Returns when leases of this length have ended that earlier planners may
+   * have renewed until they knew that they may be superseded. */
+  base::Instant EndOfInheritedLease(base::Duration lease) const;
+  /** Returns when all runs of earlier terms have ended on a worker that was not
+   * synced in this term. */
+  base::Instant InheritedRunsExpireAt(const base::WorkerId& id) const;
   /** Logs, once in the term, that jobs of earlier terms may start, and which
    * workers were not synced by then. */
   void LogEndOfEarlierTerms(base::Instant now);
@@ -666,9 +676,6 @@
   std::optional<base::Instant> capacities_outdated_since;
   /** Since when that is too old to renew leases and to start tasks. */
   std::optional<base::Instant> unconfirmed_since;
-  /** When the leases of earlier terms have expired everywhere: runs on workers
-   * that no sync of this term reaches have ended by then. */
-  base::Instant inherited_runs_expire_at;
   /** Whether it is logged that jobs of earlier terms may start. */
   bool end_of_earlier_terms_logged = false;
   /** Workers of earlier terms that have not been synced in this term. */
--- a/src/agatepass/pool/tests/takeover_test.cpp
+++ b/src/agatepass/pool/tests/takeover_test.cpp
@@ -229,6 +229,8 @@
 class UnreachedWorker : public testing::Test {
  protected:
   UnreachedWorker() {
+    // The workers have settled: their leases are the usual ones.
+    this->cell.RunFor(seconds(13));
     this->cell.Submit(MakePoolJob("a", 1, 5000, seconds(2)));
     this->cell.RunFor(seconds(1));
     this->busy = this->cell.worker(0).GetRuns().empty() ? 1 : 0;
@@ -260,6 +262,30 @@
   EXPECT_EQ(this->phase(), JobPhase::kSucceeded);
 }
 
+/** The same, on workers that have not settled. */
+class UnreachedYoungWorker : public testing::Test {
+ protected:
+  UnreachedYoungWorker() {
+    this->cell.Submit(MakePoolJob("a", 1, 5000, seconds(2)));
+    this->cell.RunFor(seconds(1));
+    const size_t busy = this->cell.worker(0).GetRuns().empty() ? 1 : 0;
+    this->cell.faults.unreachable_workers.insert(
+        base::WorkerId(busy == 0 ? "w0" : "w1"));
+    this->cell.KillPlanners(milliseconds(500));
+    this->cell.UnlistWorker(busy);
+  }
+
+  PoolCell cell{1, 2};
+};
+
+// The longest lease and the grace of a superseded planner are 12.2 s.
+TEST_F(UnreachedYoungWorker, JobsWaitForItUntilItsLongestLeaseIsOver) {
+  this->cell.RunFor(milliseconds(12'700));
+  EXPECT_EQ(this->cell.CountStarts({base::JobId("a"), 0, 0, 0}), 1);
+  this->cell.RunFor(milliseconds(3500));
+  EXPECT_EQ(this->cell.StoredPhase(base::JobId("a")), JobPhase::kSucceeded);
+}
+
 TEST_F(UnreachedWorker, JobsDoNotWaitForItOnceItIsNotListed) {
   this->cell.UnlistWorker(this->busy);
   this->cell.RunFor(seconds(15));
--- a/src/agatepass/pool/tests/truncated_ends_test.cpp
+++ b/src/agatepass/pool/tests/truncated_ends_test.cpp
@@ -104,9 +104,9 @@
 
 TEST_F(TruncatedEnds,
        AWorkerThatIsLostDelaysTheStartsOnlyUntilItsLeaseExpires) {
-  this->Load({{MakePoolJob("a", 1, 1000, seconds(1)),
-               JobProgress{.phase = JobPhase::kRunning}}},
-             {"w0"});
+  this->LoadSettled({{base::WorkerId("w0"), 1}},
+                    {{MakePoolJob("a", 1, 1000, seconds(1)),
+                      JobProgress{.phase = JobPhase::kRunning}}});
   this->ListWorker("w0", 1);
   this->ListWorker("w1", 1);
   this->RunFor(kStep);
--- a/src/agatepass/pool/tests/worker_roster_test.cpp
+++ b/src/agatepass/pool/tests/worker_roster_test.cpp
@@ -80,5 +80,41 @@
   EXPECT_EQ(this->starts.size(), 1U);
 }
 
+// Guards against a successor that waits longer than it must for a worker which
+// is gone: what the roster vouches for had the usual lease at the most.
+TEST_F(SettledWorker, HoldsWorkOfEarlierTermsNoLongerIfItIsNeverReached) {
+  const Job job = MakePoolJob("a", 1, 1000, seconds(30));
+  this->LoadSettled({{kW0, 7}},
+                    {{job, JobProgress{.phase = JobPhase::kRunning}}});
+  this->ListWorker("w1", 1);
+  this->RunWithAnswers(milliseconds(8500), 1);
+  EXPECT_EQ(this->starts.size(), 0U);
+  this->RunWithAnswers(milliseconds(300), 1);
+  EXPECT_EQ(this->starts.size(), 1U);
+}
+
+// Guards against a run on an incarnation that is not settled while the roster
+// vouches for the one before it: a successor that never reaches the worker
+// would believe in too short a lease.
+TEST_F(SettledWorker, GetsNoStartOnceItIsBackBeforeTheRosterKnows) {
+  this->LoadSettled({{kW0, 7}});
+  this->ListWorker("w0", 7);
+  this->RunWithAnswers(seconds(1), 7);
+  // The second job waits for the capacity that the first one has.
+  this->Submit(MakePoolJob("a", 1, 8000, seconds(5)));
+  this->Submit(MakePoolJob("b", 1, 8000, seconds(5)));
+  this->RunFor(milliseconds(200));
+  ASSERT_EQ(this->starts.size(), 1U);
+  this->starts.clear();
+  this->commits_succeed = false;
+  this->ListWorker("w0", 8);
+  this->RunWithAnswers(seconds(1), 8);
+  EXPECT_EQ(this->starts.size(), 0U);
+  this->commits_succeed = true;
+  this->RunWithAnswers(seconds(1), 8);
+  EXPECT_EQ(this->starts.size(), 1U);
+  EXPECT_EQ(this->StoredSettled().size(), 0U);
+}
+
 }  // namespace
 }  // namespace agatepass::pool
