Keep a run that no list has shown for as long as any incarnation may have it

What callers would see: a task that runs twice at the same time. A worker starts again, answers a start before anybody knows of its new incarnation, and is cut off before it lists its runs.

Cause: once a start was answered, its run was given up by the lease that the planner had computed for the incarnation that it knew. The answer to a start does not tell which incarnation gave it (only lists of runs do); to another one the deadline that the start names can bring the longest lease.

Change: an answered start is believed for the longest lease until a list of the worker's incarnation, under its own fence, has shown the run; then the lease of that incarnation counts.

What it costs: runs begun in the last second before a worker is lost, which no list has shown, wait for 3.6 s more. A worker that is back is not waited for.

--- a/src/agatepass/pool/planner_workers.cpp
+++ b/src/agatepass/pool/planner_workers.cpp
@@ -284,17 +284,24 @@
       std::exchange(worker.in_roster, false) || this->roster_is_stale;
 }
 
-bool PoolPlanner::MayStartLate(const RunState& run, base::Instant now) const {
-  return !IsAcknowledged(run) && this->IsKnownToLive(*run.worker, now) &&
-         now < run.start_requested_at + kMaxCallDelay +
-                   this->OnSlowestClock(this->options.max_worker_lease);
+bool PoolPlanner::MayOutlastLease(const RunState& run,
+                                  base::Instant now) const {
+  if (run.listed) return false;
+  const base::Duration longest_lease =
+      this->OnSlowestClock(this->options.max_worker_lease);
+  if (IsAcknowledged(run)) {
+    return !this->HasExpired(run.start_confirmed_at + longest_lease, now);
+  }
+  return this->IsKnownToLive(*run.worker, now) &&
+         now < run.start_requested_at + kMaxCallDelay + longest_lease;
 }
 
 void PoolPlanner::DropLostRuns(WorkerState& worker, bool restarted,
                                const PlannerTime& time) {
   std::vector<RunState*> lost;
   for (RunState* run : worker.runs) {
-    if (restarted || !this->MayStartLate(*run, time.now)) lost.push_back(run);
+    if (restarted || !this->MayOutlastLease(*run, time.now))
+      lost.push_back(run);
   }
   if (lost.empty()) return;
   ++this->totals.workers_lost;
@@ -351,7 +358,7 @@
     if (!this->HasExpired(worker.lease_expires_at, time.now)) continue;
     if (!worker.runs.empty()) this->DropLostRuns(worker, false, time);
     const bool removable =
-        !worker.listed && !worker.sync_in_flight &&
+        !worker.listed && !worker.sync_in_flight && worker.runs.empty() &&
         time.now > worker.last_answer_at + this->options.worker_lease &&
         worker.gang_reservations.empty() &&
         worker.reserved_for_tickets == platform::Resources{};
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -367,11 +367,11 @@
   /** Handles the proven end of the worker's incarnation: all its runs have
    * ended. */
   void EndIncarnation(WorkerState& worker, const PlannerTime& time);
-  /** Whether an incarnation of a worker that lives and does not answer may
-   * carry out the start of the run yet, or may have done so under the longest
-   * lease: what the start names as its deadline binds only the one it was sent
-   * to. */
-  bool MayStartLate(const RunState& run, base::Instant now) const;
+  /** Whether a run that no list of its worker has shown may go on beyond the
+   * lease that is believed in. Another incarnation than the one its start was
+   * sent to may have answered that, or may carry it out yet; the deadline that
+   * the start names can bring it the longest lease. */
+  bool MayOutlastLease(const RunState& run, base::Instant now) const;
   /** Removes the runs of the worker that have provably ended; their tasks may
    * start again. */
   void DropLostRuns(WorkerState& worker, bool restarted,
--- a/src/agatepass/pool/tests/worker_fence_test.cpp
+++ b/src/agatepass/pool/tests/worker_fence_test.cpp
@@ -215,6 +215,18 @@
   EXPECT_EQ(this->starts.size(), 1U);
 }
 
+// The same, of a worker that the store does not list: it is not removed before.
+TEST_F(RebornWorker, KeepsARunThatNoListHasShownIfItIsUnlisted) {
+  this->LoadSettled({{base::WorkerId("w0"), kFormer}});
+  this->StartOnW0(kFormer);
+  this->ListWorker("w1", 1);
+  this->planner.OnWorkerUnlisted(base::WorkerId("w0"), this->time);
+  this->RunWithW1Alone(milliseconds(9500));
+  EXPECT_EQ(this->starts.size(), 0U);
+  this->RunWithW1Alone(seconds(1));
+  EXPECT_EQ(this->starts.size(), 1U);
+}
+
 // Guards against a worker that has seen a fence of this term, is listed again
 // after it was removed, and refuses the lower fence it is called under: the
 // planner would take that for a newer planner and end its term.
