--- a/tests/soak/reborn_soak.py
+++ b/tests/soak/reborn_soak.py
@@ -92,6 +92,10 @@
     def __init__(self, folder, seed, program):
         super().__init__(folder, HOSTS)
         self.draw = random.Random(seed)
+        # Addresses that no other seed, and hardly another process, has.
+        self.network = f"127.{40 + os.getpid() % 180}.{1 + seed % 250}"
+        self.store = cell_world.Store(f"{self.network}.200", 8169)
+        self.hosts = [f"{self.network}.{11 + i}" for i in range(HOSTS)]
         self.root = folder
         os.makedirs(os.path.join(folder, "target"))
         os.symlink(os.path.abspath(program), os.path.join(folder, "target", "agatepass_cell"))
@@ -161,6 +165,7 @@
         for worker in self.workers:
             worker.life += 1
             worker.server.close()
+        self.store.server.close()
 
 
 async def play(seed, program, folder):
