--- a/src/agatepass/pool/job.h
+++ b/src/agatepass/pool/job.h
@@ -75,6 +75,8 @@
   base::JobId id;
   /** Name of the queue that the job was submitted to. */
   std::string queue;
+  /** Team whose key the submitting call carried; empty for none. */
+  base::TeamId team;
   /** Opaque text that each task is started with. */
   std::string payload;
   std::vector<Step> steps;
--- a/src/agatepass/pool/peer_call.h
+++ b/src/agatepass/pool/peer_call.h
@@ -38,6 +38,8 @@
   /** Host name, as the caller wrote it. */
   std::string host;
   std::string path;
+  /** API key of the call, empty for none. Secret: it must not be logged. */
+  std::string api_key;
 };
 
 /** A host's answer to kHello: the planner and the other hosts, as far as it
--- a/src/agatepass/pool/queue_table.h
+++ b/src/agatepass/pool/queue_table.h
@@ -1,6 +1,6 @@
 /** \file
  * The configured queues: which request paths they accept, which workers serve
- * them, and their objectives.
+ * them, and their objectives; and the teams that may use them.
  */
 #ifndef AGATEPASS_POOL_QUEUE_TABLE_H_
 #define AGATEPASS_POOL_QUEUE_TABLE_H_
@@ -12,6 +12,7 @@
 
 #include "agatepass/base/identifier.h"
 #include "agatepass/base/time.h"
+#include "agatepass/pool/team.h"
 
 namespace agatepass::pool {
 
@@ -53,15 +54,20 @@
   /** Host name and path prefix of the requests that belong to the queue. */
   std::string host;
   std::string prefix;
+  /** Whether calls need no API key although teams are configured. */
+  bool is_public = false;
   QueuePolicy policy;
 
   bool operator==(const Queue&) const = default;
 };
 
-/** All queues of one version of the configuration. */
+/** All queues and teams of one version of the configuration. */
 struct QueueTable {
   uint64_t version = 0;
   std::vector<Queue> queues;
+  /** Without a value no call needs an API key; with an empty list only calls on
+   * public queues are accepted. */
+  std::optional<std::vector<Team>> teams;
 
   bool operator==(const QueueTable&) const = default;
 };
