Keep each team within its cap, and turn away first what is beyond its share

Change: TeamUsage counts every run from its start request until it has provably ended, with an upper bound for runs of earlier terms on workers that are not synced. PlaceStep asks it before it asks for advice, places or reserves anything; a gang that the cap holds gets room held back. TeamShares counts submissions against the team's weight; beyond it a job is admitted only while capacity is spare, starts after the others and is not work ahead of them. Admission also asks whether the team's own work ends in time under its cap. Metrics and log lines for each team.

--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -247,6 +247,9 @@
    * was not started again after a success or after its last attempt. */
   void OnEndAcknowledged(const pool::ReportedEnd& report,
                          base::Instant ended_at);
+  /** Checks that what the run's team has running is within its cap, with the
+   * overage that the platform bears. */
+  void CheckTeamCap(const pool::StartRequest& request);
   /** Lets a crashing task crash its worker soon, and checks that it is not
    * started too often. */
   void OnCrashingTaskStarted(const PoolWorker& worker,
--- a/fakes/pool_cell_checks.cpp
+++ b/fakes/pool_cell_checks.cpp
@@ -12,6 +12,15 @@
 constexpr int kCrashesBeforeLimit = 3;
 constexpr int kMaxStartsAfterwards = 2;
 
+/** What a team has running may exceed its cap by this part and a task. */
+constexpr double kCapOverage = 0.1;
+
+bool ExceedsCap(int64_t in_use, int64_t cap, int64_t task) {
+  return cap > 0 && static_cast<double>(in_use) >
+                        static_cast<double>(cap) * (1 + kCapOverage) +
+                            static_cast<double>(task);
+}
+
 /** A job may be shown as failed if a task has crashed this many workers. */
 constexpr int kMinCrashes = 2;
 
@@ -112,6 +121,32 @@
   return allowed;
 }
 
+void PoolCell::CheckTeamCap(const pool::StartRequest& request) {
+  const base::TeamId& team = this->submitted.at(request.task.job).team;
+  if (!this->queues.teams || team.empty()) return;
+  platform::Resources in_use;
+  for (const auto& worker : this->workers) {
+    for (const auto& [task, run] : worker->GetRuns()) {
+      const pool::Job& job = this->submitted.at(task.job);
+      if (job.team == team) in_use += job.steps[task.step].need;
+    }
+  }
+  const platform::Resources& need =
+      this->submitted.at(request.task.job).steps[request.task.step].need;
+  for (const pool::Team& configured : *this->queues.teams) {
+    if (configured.id != team) continue;
+    if (ExceedsCap(in_use.millicores, configured.cap.millicores,
+                   need.millicores) ||
+        ExceedsCap(in_use.memory_mib, configured.cap.memory_mib,
+                   need.memory_mib)) {
+      this->ReportViolation("team " + team.value +
+                            " has more running than its cap after the start "
+                            "of " +
+                            ToString(request.task));
+    }
+  }
+}
+
 void PoolCell::OnRunStarted(const PoolWorker& worker,
                             const pool::StartRequest& request) {
   const std::string name = ToString(request.task);
@@ -137,6 +172,7 @@
     this->ReportViolation(
         name + " starts on a draining worker whose remaining time is 0");
   }
+  this->CheckTeamCap(request);
   const pool::Job& job = this->submitted.at(request.task.job);
   for (const uint32_t earlier : job.steps[request.task.step].depends_on) {
     for (uint32_t i = 0; i < job.steps[earlier].count; ++i) {
--- a/src/agatepass/pool/admission.cpp
+++ b/src/agatepass/pool/admission.cpp
@@ -10,10 +10,6 @@
  * full load. */
 constexpr double kRunTimeFactor = 1.3;
 
-/** Share of the free processors that a step can use: it may run only on some of
- * the workers, and free capacity is fragmented. */
-constexpr double kUsableFreeShare = 0.4;
-
 /** Wait for the planner, in seconds, that a job is always allowed: its queue
  * may leave it no spare time at all. */
 constexpr double kMinAllowedStartWaitS = 0.1;
@@ -25,16 +21,9 @@
  * for the job's tasks that depend on no other step. False for a job with a gang
  * in any step, as the free capacity may be fragmented. */
 bool CanStartNow(const PoolLoad& load, const Job& job) {
-  double requested = 0;
-  for (const Step& step : job.steps) {
-    if (step.gang) return false;
-    if (step.depends_on.empty()) {
-      requested += static_cast<double>(step.count) *
-                   static_cast<double>(TakenResources(step).millicores);
-    }
-  }
-  return load.waiting_millicores + requested <=
-         kUsableFreeShare * load.free_millicores;
+  return std::none_of(job.steps.begin(), job.steps.end(),
+                      [](const Step& step) { return step.gang; }) &&
+         HasSpareCapacity(load, job);
 }
 
 /** Returns when a retry may succeed: once the wait is shorter by this much. */
@@ -45,6 +34,17 @@
 
 }  // namespace
 
+bool HasSpareCapacity(const PoolLoad& load, const Job& job) {
+  double requested = 0;
+  for (const Step& step : job.steps) {
+    if (!step.depends_on.empty()) continue;
+    requested += static_cast<double>(step.count) *
+                 static_cast<double>(TakenResources(step).millicores);
+  }
+  return load.waiting_millicores + requested <=
+         load.usable_free_share * load.free_millicores;
+}
+
 std::optional<base::Duration> FindAdmissionRetryDelay(
     const PoolLoad& load, const Job& job, const QueuePolicy& policy) {
   // While no worker can take work, no wait can be estimated; the job waits for
--- a/src/agatepass/pool/admission.h
+++ b/src/agatepass/pool/admission.h
@@ -38,6 +38,9 @@
   double starts_ahead = 0;
   /** Starts a second that the planner can carry for this priority. */
   double starts_per_second = std::numeric_limits<double>::infinity();
+  /** Share of the free processors that a step can use: it may run only on some
+   * of the workers, and free capacity is fragmented. */
+  double usable_free_share = 0.4;
 };
 
 /** Decides whether a job is admitted.
@@ -50,6 +53,11 @@
 std::optional<base::Duration> FindAdmissionRetryDelay(
     const PoolLoad& load, const Job& job, const QueuePolicy& policy);
 
+/** Whether the free capacity suffices for all tasks that could start now and
+ * for the job's first ones, gangs included: for jobs that are only admitted
+ * while others do not need the capacity. */
+bool HasSpareCapacity(const PoolLoad& load, const Job& job);
+
 }  // namespace agatepass::pool
 
 #endif  // AGATEPASS_POOL_ADMISSION_H_
--- a/src/agatepass/pool/planner_advice.cpp
+++ b/src/agatepass/pool/planner_advice.cpp
@@ -100,19 +100,19 @@
   const double allowed_share =
       this->allowed_shares.EstimateShare(step.job->job.queue);
   const uint32_t unplaced_tasks = this->CountUnplacedTasks(step, time);
-  const QueryGain gain{
-      .expected_slots = fitting_tasks * allowed_share,
-      .unplaced_tasks = unplaced_tasks,
-      // A gang starts with all its tasks or not at all.
-      .cannot_start = step.definition->gang || unplaced_tasks == step.waiting,
-      .since_last_query = time.now - advice.asked_at};
+  const QueryGain gain{.expected_slots = fitting_tasks * allowed_share,
+                       .unplaced_tasks = unplaced_tasks,
+                       // A gang starts with all its tasks or not at all.
+                       .cannot_start = step.definition->gang ||
+                                       unplaced_tasks == step.CountStartable(),
+                       .since_last_query = time.now - advice.asked_at};
   const bool worthwhile = advice.tickets.empty() || IsQueryWorthwhile(gain);
   if (candidates.empty() || !worthwhile) {
     this->PostponeAdviceLook(step, time.now);
     return;
   }
   const AdviceDemand demand{
-      .tasks = step.waiting,
+      .tasks = step.CountStartable(),
       .allowed_share = allowed_share,
       .min_workers = advice.answered ? 1 : this->options.min_workers_per_query,
       .max_workers = this->options.max_workers_per_query};
@@ -169,7 +169,8 @@
   for (const Candidate& candidate : this->FindCandidates(step, time)) {
     placeable += candidate.fits;
   }
-  return step.waiting - std::min(step.waiting, placeable);
+  const uint32_t startable = step.CountStartable();
+  return startable - std::min(startable, placeable);
 }
 
 void PoolPlanner::RequestAdvice(StepState& step,
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -16,6 +16,9 @@
  * kept for a while, and leave it then. */
 constexpr base::Duration kMemoryRetryDelay = std::chrono::seconds(10);
 
+/** Retry delay of a job that cannot run with the present workers and caps. */
+constexpr base::Duration kNeverFitsRetryDelay = std::chrono::seconds(30);
+
 /** Returns the number of tasks of a job without occurrences. */
 double CountTasks(const Job& job) {
   double tasks = 0;
@@ -36,8 +39,9 @@
                          const PlannerTime& time) {
   ++this->totals.rejected;
   this->log.Add(time.now, "job rejected",
-                "job={} queue={} code={} retry_after_ms={} reason=\"{}\"",
-                job.id.value, job.queue, static_cast<int>(code),
+                "job={} queue={} team={} code={} retry_after_ms={} "
+                "reason=\"{}\"",
+                job.id.value, job.queue, job.team.value, static_cast<int>(code),
                 base::ToMilliseconds(retry_after), reason);
   this->effects.push_back(CallerAnswer{.call = call,
                                        .code = code,
@@ -74,8 +78,15 @@
   }
   if (!this->FitsAnyWorker(job, queue->policy.service)) {
     this->Reject(call, job, base::ResultCode::kCanNeverRun,
-                 base::Duration(std::chrono::seconds(30)),
-                 "a task is larger than every worker", time);
+                 kNeverFitsRetryDelay, "a task is larger than every worker",
+                 time);
+    return;
+  }
+  if (!this->FitsTeamCap(job)) {
+    ++this->counts_by_team[job.team].rejected_by_cap;
+    this->Reject(call, job, base::ResultCode::kCanNeverRun,
+                 kNeverFitsRetryDelay,
+                 "a task or a gang needs more than the cap of its team", time);
     return;
   }
   if (!this->memory.FitsSubmission(DefinitionCost(job) + OccurrenceCost(job))) {
@@ -83,15 +94,29 @@
                  "the work accepted before it leaves no memory for it", time);
     return;
   }
-  if (const auto retry_delay = this->CheckOverload(job, *queue, time)) {
+  if (const auto retry_delay = this->CheckTeamCap(job, *queue, time)) {
+    ++this->counts_by_team[job.team].rejected_by_cap;
     this->Reject(call, job, base::ResultCode::kOverloaded, *retry_delay,
-                 "it would end too late behind the work accepted before it",
-                 time);
+                 "it would end too late under the cap of its team", time);
+    return;
+  }
+  const bool within_share = this->team_shares.IsWithin(job.team, time.now);
+  if (const auto retry_delay =
+          this->CheckOverload(job, *queue, within_share, time)) {
+    if (!within_share) ++this->counts_by_team[job.team].rejected_by_share;
+    this->Reject(
+        call, job, base::ResultCode::kOverloaded, *retry_delay,
+        within_share
+            ? "it would end too late behind the work accepted before it"
+            : "it is beyond the share of its team while all capacity is in use",
+        time);
     return;
   }
   job.accepted_ms = time.wall_ms;
   job.policy = queue->policy;
   JobState& state = this->AddJob(std::move(job), time);
+  state.beyond_share = !within_share;
+  this->CountAcceptedOfTeam(state, time.now);
   this->AwaitOccurrences(state);
   this->AddToLoad(state, time);
   if (state.job.occurrences == 0) {
--- a/src/agatepass/pool/planner_counts.h
+++ b/src/agatepass/pool/planner_counts.h
@@ -50,6 +50,15 @@
   uint64_t workers_examined = 0;
 };
 
+/** Counts of one team in one leadership term. */
+struct TeamCounts {
+  uint64_t accepted = 0;
+  /** Accepted jobs that were beyond its share, while there was capacity. */
+  uint64_t accepted_beyond_share = 0;
+  uint64_t rejected_by_cap = 0;
+  uint64_t rejected_by_share = 0;
+};
+
 /** Work that waits at one moment. */
 struct PlannerBacklog {
   size_t open_jobs = 0;
--- a/src/agatepass/pool/planner_load.cpp
+++ b/src/agatepass/pool/planner_load.cpp
@@ -1,4 +1,6 @@
 // The load of a service's workers, by which jobs are admitted.
+#include <algorithm>
+
 #include "agatepass/pool/admission.h"
 #include "agatepass/pool/pool_planner.h"
 #include "agatepass/pool/urgency.h"
@@ -13,19 +15,17 @@
  * bounds the part of the planner's time that admission takes. */
 constexpr double kLoadsPerInterval = 40;
 
-/** Returns what a job of this priority finds: its own priority's work and all
- * that comes before it. */
-PoolLoad SelectLoad(const ServiceLoad& service, uint32_t priority) {
-  PoolLoad load{.usable_millicores = service.usable_millicores,
-                .free_millicores = service.free_millicores};
-  for (const auto& [other, waiting] : service.waiting) {
+/** Adds what a job of this priority finds: its own priority's work and all that
+ * comes before it. */
+void AddWork(PoolLoad& load, const std::map<uint32_t, WaitingLoad>& work,
+             uint32_t priority) {
+  for (const auto& [other, waiting] : work) {
     if (other > priority) break;
     load.waiting_millicores += waiting.startable_millicores;
     load.starts_ahead += waiting.startable_tasks;
     (other < priority ? load.higher_priority_work : load.same_priority_work) +=
         waiting.work;
   }
-  return load;
 }
 
 }  // namespace
@@ -72,23 +72,21 @@
   const base::Duration counted_late =
       job.inherited ? base::Duration(0)
                     : (kTooLateFactor - 1) * GetObjectiveTime(job);
-  WaitingLoad* waiting = nullptr;
+  const uint32_t priority = job.policy.priority;
+  auto& by_priority =
+      job.beyond_share ? load.waiting_beyond_share : load.waiting;
   for (const auto& step : job.steps) {
     const base::Instant objective_end = GetObjectiveEnd(*step);
     if (time.now > objective_end + counted_late) continue;
-    if (waiting == nullptr) waiting = &load.waiting[job.policy.priority];
-    const double tasks = step->waiting;
-    const double millicores =
-        tasks *
-        static_cast<double>(TakenResources(*step->definition).millicores);
-    waiting->work += millicores * base::ToSeconds(step->definition->estimate);
-    if (!this->IsReady(*step, time)) continue;
-    if (!step->definition->gang) waiting->startable_millicores += millicores;
+    const bool can_start = this->IsReady(*step, time);
     // What waits for resources needs no more of the planner for now.
-    if (time.now <= objective_end &&
-        step->wait.reason != WaitReason::kResources) {
-      waiting->startable_tasks += tasks;
-    }
+    const bool is_ahead = time.now <= objective_end &&
+                          step->wait.reason != WaitReason::kResources;
+    by_priority[priority].Add(*step->definition, step->CountStartable(),
+                              can_start, is_ahead);
+    if (job.job.team.empty()) continue;
+    load.waiting_of_teams[job.job.team][priority].Add(
+        *step->definition, step->waiting, can_start, is_ahead);
   }
 }
 
@@ -99,23 +97,34 @@
 }
 
 std::optional<base::Duration> PoolPlanner::CheckOverload(
-    const Job& job, const Queue& queue, const PlannerTime& time) {
+    const Job& job, const Queue& queue, bool within_share,
+    const PlannerTime& time) {
   const base::Instant now = time.now;
-  PoolLoad load = SelectLoad(this->FindLoad(queue.policy.service, time),
-                             queue.policy.priority);
-  load.starts_per_second = this->capacity.RateFor(queue.policy.priority, now);
-  const auto retry_delay = FindAdmissionRetryDelay(load, job, queue.policy);
+  const uint32_t priority = queue.policy.priority;
+  const ServiceLoad& service = this->FindLoad(queue.policy.service, time);
+  PoolLoad load{.usable_millicores = service.usable_millicores,
+                .free_millicores = service.free_millicores,
+                .starts_per_second = this->capacity.RateFor(priority, now)};
+  AddWork(load, service.waiting, priority);
+  // What is beyond a share starts after all that is within one.
+  if (!within_share) AddWork(load, service.waiting_beyond_share, priority);
+  std::optional<base::Duration> retry_delay =
+      FindAdmissionRetryDelay(load, job, queue.policy);
+  if (!within_share && (retry_delay || !HasSpareCapacity(load, job))) {
+    retry_delay = this->team_shares.TimeUntilWithin(job.team, now);
+  }
   if (retry_delay) {
-    const ServiceLoad& sum = this->loads[queue.policy.service];
     this->log.Add(now, "pool overloaded",
-                  "job={} priority={} usable_millicores={:.0f} "
+                  "job={} priority={} team={} within_share={} "
+                  "usable_millicores={:.0f} "
                   "in_use_millicores={} total_millicores={} "
                   "higher_priority_core_s={:.0f} "
                   "same_priority_core_s={:.0f} job_core_s={:.0f} "
                   "free_millicores={:.0f} waiting_millicores={:.0f} "
                   "starts_ahead={:.0f} starts_per_second={:.0f}",
-                  job.id.value, queue.policy.priority, load.usable_millicores,
-                  sum.used_millicores, sum.total_millicores,
+                  job.id.value, priority, job.team.value, within_share,
+                  load.usable_millicores, service.used_millicores,
+                  service.total_millicores,
                   load.higher_priority_work / kMillicoresPerCore,
                   load.same_priority_work / kMillicoresPerCore,
                   EstimatedWork(job) / kMillicoresPerCore, load.free_millicores,
@@ -125,4 +134,35 @@
   return retry_delay;
 }
 
+std::optional<base::Duration> PoolPlanner::CheckTeamCap(
+    const Job& job, const Queue& queue, const PlannerTime& time) {
+  const TeamUsage::Entry* team = this->team_usage.Find(job.team);
+  if (team == nullptr || team->cap.millicores == 0) return std::nullopt;
+  const ServiceLoad& service = this->FindLoad(queue.policy.service, time);
+  const int64_t room =
+      team->cap.millicores - team->in_use.millicores - team->unknown.millicores;
+  PoolLoad under_cap{
+      .usable_millicores = static_cast<double>(team->cap.millicores),
+      .free_millicores = static_cast<double>(std::max<int64_t>(room, 0)),
+      .usable_free_share = 1};
+  if (const auto waiting = service.waiting_of_teams.find(job.team);
+      waiting != service.waiting_of_teams.end()) {
+    AddWork(under_cap, waiting->second, queue.policy.priority);
+  }
+  const auto retry_delay =
+      FindAdmissionRetryDelay(under_cap, job, queue.policy);
+  if (retry_delay) {
+    this->log.Add(time.now, "team overloaded",
+                  "job={} team={} cap_millicores={} in_use_millicores={} "
+                  "unknown_millicores={} higher_priority_core_s={:.0f} "
+                  "same_priority_core_s={:.0f} job_core_s={:.0f}",
+                  job.id.value, job.team.value, team->cap.millicores,
+                  team->in_use.millicores, team->unknown.millicores,
+                  under_cap.higher_priority_work / kMillicoresPerCore,
+                  under_cap.same_priority_work / kMillicoresPerCore,
+                  EstimatedWork(job) / kMillicoresPerCore);
+  }
+  return retry_delay;
+}
+
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/planner_placement.cpp
+++ b/src/agatepass/pool/planner_placement.cpp
@@ -37,6 +37,7 @@
 void PoolPlanner::ScheduleReadySteps(const PlannerTime& time) {
   this->OpenDueOccurrences(time);
   this->DropExpiredGangReservations(time.now);
+  this->BeginTeamPass(time);
   const uint64_t examined_before = this->totals.workers_examined;
   std::vector<StepState*> ready = this->CollectReadySteps(time);
   this->ready_steps = ready.size();
@@ -57,10 +58,12 @@
     // What is sent in vain would delay the ends that make room.
     if (this->places.HasRoomForStart(GetLane(*step, time.now))) {
       this->PlaceStep(*step, time);
+      this->HoldBackForGang(*step, time);
     } else {
       step->wait.Set(WaitReason::kStartPlace, time.now);
     }
   }
+  this->LogHeldTeams(time.now);
   if (!this->places.HasRoomForStart(Lane::kOther)) ++this->passes_without_room;
   const uint64_t examined = this->totals.workers_examined - examined_before;
   this->earliest_scheduling_at =
@@ -94,7 +97,8 @@
 
 std::vector<StepState*> PoolPlanner::CollectReadySteps(
     const PlannerTime& time) {
-  std::vector<std::tuple<Urgency, base::Instant, StepState*>> ready;
+  // Urgency; whether it is beyond its team's share; latest start.
+  std::vector<std::tuple<Urgency, bool, base::Instant, StepState*>> ready;
   for (const auto& [id, job] : this->open) {
     for (const auto& step : job->steps) {
       if (!this->IsReady(*step, time)) continue;
@@ -102,19 +106,21 @@
         step->ready_since = time.now;
         step->wait = {.since = time.now};
       }
-      ready.emplace_back(GetUrgency(*step, time.now),
+      ready.emplace_back(GetUrgency(*step, time.now), job->beyond_share,
                          GetObjectiveEnd(*step) - step->remaining_critical_path,
                          step.get());
     }
   }
-  std::stable_sort(ready.begin(), ready.end(),
-                   [](const auto& left, const auto& right) {
-                     return std::tie(std::get<0>(left), std::get<1>(left)) <
-                            std::tie(std::get<0>(right), std::get<1>(right));
-                   });
+  std::stable_sort(
+      ready.begin(), ready.end(), [](const auto& left, const auto& right) {
+        return std::tie(std::get<0>(left), std::get<1>(left),
+                        std::get<2>(left)) < std::tie(std::get<0>(right),
+                                                      std::get<1>(right),
+                                                      std::get<2>(right));
+      });
   std::vector<StepState*> steps;
   steps.reserve(ready.size());
-  for (const auto& entry : ready) steps.push_back(std::get<2>(entry));
+  for (const auto& entry : ready) steps.push_back(std::get<3>(entry));
   return steps;
 }
 
@@ -132,6 +138,7 @@
   if (this->handing_over || this->superseded || this->unconfirmed_since) return;
   if (!step.job->IsOpen()) return;
   step.waits_despite_capacity = this->WaitsDespiteCapacity(step, time);
+  if (this->IsHeldByTeamCap(step, time)) return;
   if (this->NeedsAdvice(step) && !step.advice.answered) {
     this->RequestMoreAdvice(step, time);
     return;
@@ -204,7 +211,7 @@
 uint32_t PoolPlanner::CountFitsOn(const WorkerState& worker,
                                   const StepState& step) const {
   const Step& definition = *step.definition;
-  uint32_t max_tasks = step.waiting;
+  uint32_t max_tasks = step.CountStartable();
   if (definition.max_tasks_per_worker > 0) {
     const uint32_t running = CountRunsOnWorker(step, worker);
     if (running >= definition.max_tasks_per_worker) return 0;
@@ -216,7 +223,7 @@
 uint32_t PoolPlanner::CountFitsOnEmpty(const WorkerState& worker,
                                        const StepState& step) const {
   const Step& definition = *step.definition;
-  uint32_t max_tasks = step.waiting;
+  uint32_t max_tasks = step.CountStartable();
   if (definition.max_tasks_per_worker > 0) {
     max_tasks = std::min(max_tasks, definition.max_tasks_per_worker);
   }
@@ -266,6 +273,8 @@
   const Lane lane = GetLane(step, time.now);
   std::vector<std::pair<WorkerState*, uint32_t>> expired_tickets;
   uint32_t tasks_needing_renewal = 0;
+  // Trials may have used some of it.
+  uint32_t cap_room = this->CountCapRoom(step, step.waiting);
   for (uint32_t i = 0; i < step.tasks.size(); ++i) {
     TaskState& task = step.tasks[i];
     if (task.succeeded || task.current_run != nullptr) continue;
@@ -275,6 +284,10 @@
       step.wait.Set(WaitReason::kStartPlace, time.now);
       break;
     }
+    if (cap_room == 0) {
+      step.wait.Set(WaitReason::kTeamCap, time.now);
+      break;
+    }
     Candidate* best = nullptr;
     for (Candidate& candidate : candidates) {
       if (candidate.fits == 0) continue;
@@ -286,6 +299,7 @@
     }
     if (best == nullptr) break;
     --best->fits;
+    --cap_room;
     if (best->ticket_valid) {
       this->StartTask(step, i, task.last_run + 1, *best->worker, time);
       continue;
--- a/src/agatepass/pool/planner_retention.cpp
+++ b/src/agatepass/pool/planner_retention.cpp
@@ -93,6 +93,8 @@
   if (time.now < this->next_compaction) return;
   this->next_compaction = time.now + kCompactionPeriod;
   if (this->store_health.IsDown()) return;
+  // Workers that are not synced may have runs of jobs of earlier terms.
+  const bool inherited_runs_known = this->CanStartInheritedJobs(time.now);
   std::vector<base::JobId> still_running;
   for (int i = 0; i < kMaxCompactionCommits && !this->uncompacted_jobs.empty();
        ++i) {
@@ -104,9 +106,10 @@
       this->uncompacted_jobs.pop_front();
       const auto job = this->jobs.find(id);
       if (job == this->jobs.end()) continue;
-      if (JobHasRuns(*job->second)) {
+      if (JobHasRuns(*job->second) ||
+          (job->second->inherited && !inherited_runs_known)) {
         // A new leader needs the definition to know which resources the runs
-        // take.
+        // take, and of which team they are.
         still_running.push_back(id);
         continue;
       }
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -42,6 +42,8 @@
   run->worker = &worker;
   run->step = step;
   run->taken = taken;
+  run->charge = this->MakeCharge(task, worker);
+  this->team_usage.Add(run->charge);
   RunState& added = *run;
   worker.runs.push_back(&added);
   worker.used += taken;
@@ -100,6 +102,7 @@
 void PoolPlanner::ReleaseRun(RunState& run) {
   WorkerState& worker = *run.worker;
   worker.used -= run.taken;
+  this->team_usage.Remove(run.charge);
   std::erase(worker.runs, &run);
   if (run.step != nullptr) {
     TaskState& task = run.step->tasks[run.task.index];
--- a/src/agatepass/pool/planner_trials.cpp
+++ b/src/agatepass/pool/planner_trials.cpp
@@ -222,7 +222,9 @@
   if (!may_risk) return;
   Candidate* best = this->ChooseForTrial(candidates, waiting_since, time.now);
   if (best == nullptr) return;
-  const auto fits = std::min(best->fits, static_cast<uint32_t>(indices.size()));
+  const uint32_t fits = this->CountCapRoom(
+      step, std::min(best->fits, static_cast<uint32_t>(indices.size())));
+  if (fits == 0) return;
   if (!best->ticket_valid) {
     this->ReserveAndRenewTickets(
         step, std::vector{std::make_pair(best->worker, fits)}, time);
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -115,10 +115,13 @@
 void PoolPlanner::SetQueues(const QueueTable& table, const PlannerTime& time) {
   if (table.version < this->queues.table().version) return;
   this->queues = QueueIndex(table);
+  const std::vector<Team> teams = table.teams.value_or(std::vector<Team>());
+  this->team_usage.SetTeams(teams);
+  this->team_shares.SetTeams(teams);
   for (auto& [id, job] : this->open) this->ApplyQueuePolicy(*job);
   this->scheduling_needed = true;
-  this->log.Add(time.now, "planner configured", "version={} queues={}",
-                table.version, table.queues.size());
+  this->log.Add(time.now, "planner configured", "version={} queues={} teams={}",
+                table.version, table.queues.size(), teams.size());
 }
 
 void PoolPlanner::Load(std::span<const StoredJob> stored,
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -38,6 +38,8 @@
 #include "agatepass/pool/record_codec.h"
 #include "agatepass/pool/start_capacity.h"
 #include "agatepass/pool/store_health.h"
+#include "agatepass/pool/team_shares.h"
+#include "agatepass/pool/team_usage.h"
 #include "agatepass/pool/worker_roster.h"
 #include "agatepass/pool/worker_state.h"
 #include "agatepass/pool/write_backlog.h"
@@ -189,6 +191,12 @@
 
   const PlannerCounts& counts() const { return this->totals; }
 
+  /** What teams have running, and the counts of their jobs. */
+  const TeamUsage& usage_of_teams() const { return this->team_usage; }
+  const std::map<base::TeamId, TeamCounts>& counts_of_teams() const {
+    return this->counts_by_team;
+  }
+
   /** Returns the number of jobs that are accepted and not final. */
   size_t open_jobs() const { return this->open.size(); }
 
@@ -266,10 +274,17 @@
 
   // planner_load.cpp
   /** Returns whether a new job would end too late: the time after which a retry
-   * may succeed, or nothing if the job is admitted. */
+   * may succeed, or nothing if the job is admitted.
+   * \param within_share whether it is within the share of its team; otherwise
+   * it is only admitted while nothing else needs the capacity. */
   std::optional<base::Duration> CheckOverload(const Job& job,
                                               const Queue& queue,
+                                              bool within_share,
                                               const PlannerTime& time);
+  /** Returns the same for a job behind the waiting work of its team, under the
+   * team's cap. */
+  std::optional<base::Duration> CheckTeamCap(const Job& job, const Queue& queue,
+                                             const PlannerTime& time);
   /** Returns the service's load, summed up again if the last sum is too old. */
   const ServiceLoad& FindLoad(const base::ServiceId& service,
                               const PlannerTime& time);
@@ -591,6 +606,35 @@
       const PlannerTime& time);
   void ReleaseTicketReservations(StepState& step);
 
+  // planner_teams.cpp
+  /** Whether each task and each gang fits into the cap of the job's team. */
+  bool FitsTeamCap(const Job& job) const;
+  void CountAcceptedOfTeam(const JobState& job, base::Instant now);
+  /** Returns what a run counts for: the whole worker, against every team, if
+   * its job is not known. */
+  TeamCharge MakeCharge(const TaskName& task, const WorkerState& worker) const;
+  /** Returns how many of the tasks may start now under the team's cap. */
+  uint32_t CountCapRoom(const StepState& step, uint32_t tasks) const;
+  /** Whether the cap of its team keeps the step from starting any task, or a
+   * gang from starting whole. */
+  bool IsHeldByTeamCap(StepState& step, const PlannerTime& time);
+  /** Keeps room under its team's cap for a gang that the cap held, so that
+   * later steps of the team do not take it. */
+  void HoldBackForGang(const StepState& step, const PlannerTime& time);
+  /** Prepares the accounts of the teams for a scheduling pass. */
+  void BeginTeamPass(const PlannerTime& time);
+  /** Returns what the workers of earlier terms can hold that were not synced
+   * and may have runs; nothing if there are none. */
+  std::optional<platform::Resources> CapacityOfUnsyncedWorkers(
+      base::Instant now) const;
+  /** Returns what of a job's tasks may run without being known. */
+  platform::Resources BoundUnknownRuns(
+      const JobState& job, const platform::Resources& capacity) const;
+  /** Bounds the runs of earlier terms on workers that were not synced. */
+  void UpdateUnknownRuns(base::Instant now);
+  /** Logs which teams the last pass began or ceased to hold. */
+  void LogHeldTeams(base::Instant now);
+
   // planner_gangs.cpp
   void PlaceGang(StepState& step, std::vector<Candidate> candidates,
                  const PlannerTime& time);
@@ -651,6 +695,14 @@
   /** Starts until the latest period of work was recorded. */
   uint64_t starts_recorded = 0;
   PlannerCounts totals;
+  TeamUsage team_usage;
+  TeamShares team_shares;
+  std::map<base::TeamId, TeamCounts> counts_by_team;
+  /** Whether workers may have runs of earlier terms that are not known. */
+  bool has_unknown_runs = true;
+  /** Teams that their caps hold, since when; and those of the present pass. */
+  std::map<base::TeamId, base::Instant> held_teams;
+  std::set<base::TeamId> teams_held_in_pass;
   bool handing_over = false;
   bool superseded = false;
   /** Whether a change since the last scheduling pass may let work start. */
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -5,7 +5,9 @@
 #ifndef AGATEPASS_POOL_POOL_STATE_H_
 #define AGATEPASS_POOL_POOL_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,6 +25,7 @@
 #include "agatepass/pool/occurrence_set.h"
 #include "agatepass/pool/record_codec.h"
 #include "agatepass/pool/step_wait.h"
+#include "agatepass/pool/team_usage.h"
 #include "agatepass/pool/worker_roster.h"
 #include "agatepass/pool/worker_set.h"
 
@@ -64,6 +67,8 @@
   bool listed = false;
   /** What it takes of its worker's capacity. */
   platform::Resources taken;
+  /** What it counts for under the cap of its team. */
+  TeamCharge charge;
   base::Instant start_requested_at;
   /** Fence of its start request; 0 if another planner sent that. */
   Fence fence = 0;
@@ -173,6 +178,19 @@
 
 /** Waiting work of the queues of one priority. */
 struct WaitingLoad {
+  /** Adds waiting tasks of a step.
+   * \param can_start whether they could start now.
+   * \param is_ahead whether the planner starts them before a new job's tasks.
+   */
+  void Add(const Step& step, double tasks, bool can_start, bool is_ahead) {
+    const double millicores =
+        tasks * static_cast<double>(TakenResources(step).millicores);
+    this->work += millicores * base::ToSeconds(step.estimate);
+    if (!can_start) return;
+    if (!step.gang) this->startable_millicores += millicores;
+    if (is_ahead) this->startable_tasks += tasks;
+  }
+
   /** Estimated processor time of the waiting tasks, in millicore-seconds. */
   double work = 0;
   /** Processors of the tasks that could start now, gangs excluded. */
@@ -189,8 +207,13 @@
   double free_millicores = 0;
   int64_t used_millicores = 0;
   int64_t total_millicores = 0;
-  /** By priority; 0 is the highest. */
+  /** By priority; 0 is the highest. Of jobs within the shares of their teams,
+   * as far as their caps let them start. */
   std::map<uint32_t, WaitingLoad> waiting;
+  /** The same of jobs beyond the shares of their teams. */
+  std::map<uint32_t, WaitingLoad> waiting_beyond_share;
+  /** Of each team, whatever its cap lets start. */
+  std::map<base::TeamId, std::map<uint32_t, WaitingLoad>> waiting_of_teams;
 };
 
 /** One step of one open occurrence of a job. */
@@ -203,6 +226,11 @@
   uint32_t succeeded = 0;
   /** Number of tasks that have no run and have not succeeded. */
   uint32_t waiting = 0;
+  /** Number of tasks that may start under the cap of its team, when it was last
+   * considered; of a gang 0 or all. */
+  uint32_t cap_room = std::numeric_limits<uint32_t>::max();
+  /** Of a gang: whether the cap of its team has kept it from starting. */
+  bool was_held_by_cap = false;
   /** When its occurrence was due, or its job accepted if that was later: from
    * then on its objective counts. */
   base::Instant released_at;
@@ -227,6 +255,11 @@
   std::vector<RunNumber> failed_runs;
 
   bool IsDone() const { return this->succeeded == this->tasks.size(); }
+
+  /** Number of waiting tasks that the cap of its team lets start. */
+  uint32_t CountStartable() const {
+    return std::min(this->waiting, this->cap_room);
+  }
 };
 
 /** One job that was admitted, whether stored yet or not. */
@@ -257,6 +290,9 @@
   /** Whether it was accepted in an earlier term: runs of its tasks may be
    * present on any worker. */
   bool inherited = false;
+  /** Whether it was accepted beyond the share of its team, which only this
+   * planner knows: a successor counts it as within. */
+  bool beyond_share = false;
   /** The steps of the open occurrences, ordered by occurrence and step: of
    * those that were due and whose tasks have not all succeeded. */
   std::vector<std::unique_ptr<StepState>> steps;
--- a/src/agatepass/pool/step_wait.h
+++ b/src/agatepass/pool/step_wait.h
@@ -29,16 +29,18 @@
   kStartPlace,
   /** Free resources on workers that may run it. */
   kResources,
+  /** Runs of its team to end, which use up the team's cap. */
+  kTeamCap,
 };
 
 inline constexpr size_t kWaitReasons =
-    static_cast<size_t>(WaitReason::kResources) + 1;
+    static_cast<size_t>(WaitReason::kTeamCap) + 1;
 
 /** Returns the name of a reason, for logs. */
 constexpr std::string_view WaitReasonName(WaitReason reason) {
   constexpr std::array<std::string_view, kWaitReasons> kNames = {
-      "pass",          "query_place", "advice",   "store",
-      "earlier_terms", "start_place", "resources"};
+      "pass",          "query_place", "advice",    "store",
+      "earlier_terms", "start_place", "resources", "team_cap"};
   return kNames[static_cast<size_t>(reason)];
 }
 
--- a/src/agatepass/pool/tests/call_routing_test.cpp
+++ b/src/agatepass/pool/tests/call_routing_test.cpp
@@ -130,7 +130,8 @@
 
 PeerCall MakeCallWithKey(const std::string& path, const std::string& key) {
   return {.verb = PeerVerb::kSubmit,
-          .target = {.host = kHost, .path = path, .api_key = key}};
+          .target = {.host = kHost, .path = path, .api_key = key},
+          .submission = {.steps = {{.count = 1}}}};
 }
 
 // Jobs ran whose key no configuration had ever held.
--- a/tests/faults/pool_seeds_test.cpp
+++ b/tests/faults/pool_seeds_test.cpp
@@ -278,6 +278,44 @@
   }
 }
 
+// A successor counts less than a team has running, as it has not reached all
+// workers, and starts more than the team's cap allows.
+class PoolTeamSeeds : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(PoolTeamSeeds, KeepEachTeamWithinItsCap) {
+  constexpr uint64_t kSeedsPerCase = 50;
+  constexpr int kTeams = 3;
+  for (uint64_t i = 0; i < kSeedsPerCase; ++i) {
+    const uint64_t seed = GetParam() * kSeedsPerCase + i;
+    Draw draw(seed);
+    PoolCell cell(seed, kWorkers);
+    cell.queues.teams.emplace();
+    for (int team = 0; team < kTeams; ++team) {
+      cell.queues.teams->push_back(
+          {.id = base::TeamId("t" + std::to_string(team)),
+           .weight = 1.0 + draw(3),
+           .cap = {.millicores = 3000 * (1 + draw(4))}});
+    }
+    cell.ReplacePlanner();
+    for (int round = 0; round < kRounds; ++round) {
+      if (draw(3) != 0) {
+        pool::Job job = DrawJob(round, draw);
+        job.team = cell.queues.teams->at(draw(kTeams)).id;
+        cell.Submit(job);
+      }
+      if (draw(8) == 0) cell.KillPlanners(milliseconds(100 + draw(1000)));
+      if (draw(8) == 0) CutPlannerOff(cell, draw);
+      if (draw(8) == 0) ApplyRandomAction(cell, draw);
+      if (draw(8) == 0) cell.faults = {};
+      cell.RunFor(milliseconds(50 + draw(1200)));
+    }
+    ASSERT_NO_FATAL_FAILURE(CheckOutcome(cell, seed));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Random, PoolTeamSeeds,
+                         testing::Range<uint64_t>(0, 20));
+
 INSTANTIATE_TEST_SUITE_P(Random, PoolRebornTakeoverSeeds,
                          testing::Range<uint64_t>(0, 20));
 
