Bound what clients make a host hold, over all connections

Cause: bodies and headers that are being received were bounded for each connection alone, requests ahead not at all, and connections on which no request had ended did not count: 400 connections took 113 to 435 MB of a host with 64 MB, and 1,200 silent ones more descriptors than it had.

Change: ReceiveBudget holds one account for each connection of all servers; over its limit, connections of the server that holds most are closed, the largest and slowest first.

--- a/src/agatepass/base/event_loop.cpp
+++ b/src/agatepass/base/event_loop.cpp
@@ -48,6 +48,8 @@
   event_add(this->handle, &interval);
 }
 
+void LoopEvent::Activate() { event_active(this->handle, EV_TIMEOUT, 0); }
+
 void LoopEvent::SetPriority(EventPriority priority) {
   event_priority_set(this->handle, static_cast<int>(priority));
 }
--- a/src/agatepass/base/event_loop.h
+++ b/src/agatepass/base/event_loop.h
@@ -53,6 +53,10 @@
   /** Arms the event to fire after `delay`. */
   void Arm(Duration delay);
 
+  /** Makes the event due at once: before all that are due with a lower
+   * priority. */
+  void Activate();
+
   /** Sets its priority, kBulk by default; not while the event is due. */
   void SetPriority(EventPriority priority);
 
--- a/src/agatepass/base/http_message.cpp
+++ b/src/agatepass/base/http_message.cpp
@@ -50,4 +50,14 @@
   return {};
 }
 
+size_t EstimateMemory(const HttpRequest& request) {
+  size_t bytes = sizeof(request) + request.path.size() + request.body.size();
+  for (const auto* headers : {&request.headers, &request.query}) {
+    for (const HttpHeader& header : *headers) {
+      bytes += sizeof(header) + header.name.size() + header.value.size();
+    }
+  }
+  return bytes;
+}
+
 }  // namespace agatepass::base
--- a/src/agatepass/base/http_message.h
+++ b/src/agatepass/base/http_message.h
@@ -62,6 +62,9 @@
   std::string body;
 };
 
+/** Returns the memory that a request takes, estimated. */
+size_t EstimateMemory(const HttpRequest& request);
+
 /** An answer with a status line. */
 struct HttpAnswer {
   int status = 0;
--- a/src/agatepass/base/http_server.cpp
+++ b/src/agatepass/base/http_server.cpp
@@ -7,11 +7,14 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <mutex>
 #include <span>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "agatepass/base/result_code.h"
@@ -75,9 +78,6 @@
   return Endpoint{text.data(), ntohs(address.sin_port)};
 }
 
-/** Time for which no connection is accepted after one could not be. */
-constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
-
 /** Connections accepted before bulk events get their turn: as many as the
  * kernel keeps for a server that does not accept. */
 constexpr size_t kMaxAcceptedInRound = 128;
@@ -86,10 +86,6 @@
  * some, as others of the process need descriptors too. */
 constexpr size_t kClosedForDescriptors = 16;
 
-/** Time since its last request or answer after which a connection counts as
- * idle: before, the next request is likely. */
-constexpr Duration kMinIdleTime = std::chrono::milliseconds(500);
-
 /** libevent passes an error of accept() on without the server that it concerns.
  */
 class ListenerRegistry {
@@ -126,6 +122,51 @@
   return registry;
 }
 
+/** Bytes that are read and dropped before a connection is closed: unread ones
+ * would reset it, and the client would lose its answer. */
+constexpr size_t kMaxDiscardedBytes = size_t{1024} * 1024;
+
+/** How often the target of a request is held until it is answered: by
+ * libevent, by the handler and on the way to another host. */
+constexpr size_t kCopiesOfTarget = 4;
+
+/** Period at which connections are looked for whose time is over. */
+constexpr Duration kOverduePeriod = std::chrono::seconds(1);
+
+/** Reads and drops what has arrived on a connection. */
+void DiscardInput(evutil_socket_t descriptor) {
+  std::array<char, 16'384> bytes;
+  for (size_t dropped = 0; dropped < kMaxDiscardedBytes;) {
+    const ssize_t count =
+        recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count <= 0) return;
+    dropped += static_cast<size_t>(count);
+  }
+}
+
+/** Frees the fields of a request that has been copied, but the one by which
+ * libevent decides whether the connection stays open. */
+void FreeHeaders(evhttp_request* request) {
+  constexpr char kConnection[] = "Connection";
+  evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  const char* found = evhttp_find_header(headers, kConnection);
+  const std::string kept = found == nullptr ? "" : found;
+  evhttp_clear_headers(headers);
+  if (!kept.empty()) evhttp_add_header(headers, kConnection, kept.c_str());
+}
+
+/** Least memory of an answer: libevent allocates its buffers in pages. */
+constexpr size_t kMinAnswerBytes = 2048;
+
+/** Returns the memory of an answer that is being sent, estimated. */
+size_t SizeOf(const HttpAnswer& answer) {
+  size_t bytes = kMinAnswerBytes + answer.body.size();
+  for (const HttpHeader& header : answer.headers) {
+    bytes += header.name.size() + header.value.size();
+  }
+  return bytes;
+}
+
 void EndRequest(HttpResponder::State& state) {
   // Running it may destroy the state.
   const std::function<void()> on_done = std::exchange(state.on_done, nullptr);
@@ -138,6 +179,11 @@
   if (!this->open()) return;
   evhttp_request* request = std::exchange(this->state->request, nullptr);
   this->state->answered = true;
+  if (this->state->budget != nullptr) {
+    this->state->budget->OnAnswer(this->state->account, SizeOf(answer),
+                                  this->state->loop->Now());
+    if (this->state->budget->IsExceeded()) this->state->on_excess->Activate();
+  }
   // The request ends once it is written; the server keeps the state until then.
   evhttp_request_set_on_complete_cb(
       request,
@@ -161,6 +207,8 @@
       handler(std::move(handler)),
       priority(limits.priority),
       max_connections(limits.connections),
+      budget(limits.budget),
+      max_read_ahead(limits.header_bytes + limits.body_bytes),
       responders(std::make_shared<
                  std::vector<std::shared_ptr<HttpResponder::State>>>()) {
   this->server = evhttp_new(loop.handle());
@@ -174,16 +222,30 @@
   evhttp_set_bevcb(this->server, &HttpServer::OnAccepted, this);
   this->next_round = std::make_unique<LoopEvent>(
       loop, -1, 0, [this] { this->accepted_in_round = 0; });
+  this->register_accepted = std::make_unique<LoopEvent>(
+      loop, -1, 0, [this] { this->RegisterAccepted(); });
+  this->register_accepted->SetPriority(EventPriority::kControl);
+  if (this->budget == nullptr) return;
+  this->close_excess = std::make_unique<LoopEvent>(
+      loop, -1, 0, [this] { this->budget->CloseExcess(this->loop.Now()); });
+  this->close_excess->SetPriority(EventPriority::kControl);
+  this->close_overdue = loop.Every(
+      kOverduePeriod, [this] { this->budget->CloseOverdue(this->loop.Now()); });
 }
 
 HttpServer::~HttpServer() {
   this->CloseListener();
+  this->RegisterAccepted();
   for (const auto& [handle, connection] : this->open_connections) {
     evhttp_connection_set_closecb(handle, nullptr, nullptr);
+    evbuffer_remove_cb(bufferevent_get_input(connection->events),
+                       &HttpServer::OnInput, connection.get());
+    if (this->budget != nullptr) this->budget->Close(connection->account);
   }
   for (const auto& state : *this->responders) {
     state->on_done = nullptr;
     state->request = nullptr;
+    state->budget = nullptr;
   }
   evhttp_free(this->server);
 }
@@ -249,47 +311,17 @@
   if (server->accepted_in_round == kMaxAcceptedInRound) {
     server->PauseAccepting(Duration(0));
   }
-  return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-}
-
-void HttpServer::PauseAccepting(Duration pause) {
-  if (this->socket == nullptr || this->resume_accepting) return;
-  evconnlistener* listener = evhttp_bound_socket_get_listener(this->socket);
-  evconnlistener_disable(listener);
-  this->resume_accepting = this->loop.After(pause, [this, listener] {
-    this->resume_accepting.reset();
-    evconnlistener_enable(listener);
-  });
-}
-
-size_t HttpServer::CloseIdle(size_t max_count) {
-  const Instant idle_since = this->loop.Now() - kMinIdleTime;
-  std::vector<const Connection*> idle;
-  for (const auto& [handle, connection] : this->open_connections) {
-    if (!connection->request && connection->last_used <= idle_since) {
-      idle.push_back(connection.get());
-    }
-  }
-  const size_t count = std::min(max_count, idle.size());
-  std::partial_sort(idle.begin(), idle.begin() + static_cast<ptrdiff_t>(count),
-                    idle.end(),
-                    [](const Connection* left, const Connection* right) {
-                      return left->last_used < right->last_used;
-                    });
-  // Freeing a connection takes it out of the open ones.
-  for (const Connection* connection : std::span(idle).first(count)) {
-    evhttp_connection_free(connection->handle);
+  bufferevent* events = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+  // A body is kept here until it is complete: the limit has to cover one. It is
+  // set only with a budget, whose time limits end what stops at it.
+  if (server->budget != nullptr) {
+    bufferevent_setwatermark(events, EV_READ, 0, server->max_read_ahead);
   }
-  this->idle_closed_count += count;
-  return count;
-}
-
-void HttpServer::KeepWithinLimit() {
-  if (this->open_connections.size() <= this->max_connections) return;
-  const size_t excess = this->open_connections.size() - this->max_connections;
-  if (this->CloseIdle(excess) > 0) return;
-  ++this->pause_count;
-  this->PauseAccepting(kAcceptPause);
+  // libevent has no connection for it yet.
+  bufferevent_incref(events);
+  server->accepted.push_back(events);
+  if (server->accepted.size() == 1) server->register_accepted->Arm(Duration(0));
+  return events;
 }
 
 void HttpServer::OnRequest(evhttp_request* request, void* self) {
@@ -298,15 +330,21 @@
   server->Receive(request);
 }
 
-HttpServer::Connection& HttpServer::FindConnection(evhttp_request* request) {
-  evhttp_connection* handle = evhttp_request_get_connection(request);
+HttpServer::Connection& HttpServer::FindConnection(evhttp_connection* handle) {
   std::unique_ptr<Connection>& connection = this->open_connections[handle];
-  if (!connection) {
-    connection = std::make_unique<Connection>();
-    connection->server = this;
-    connection->handle = handle;
-    evhttp_connection_set_closecb(handle, &HttpServer::OnConnectionClosed,
-                                  connection.get());
+  if (connection) return *connection;
+  connection = std::make_unique<Connection>();
+  connection->server = this;
+  connection->handle = handle;
+  connection->events = evhttp_connection_get_bufferevent(handle);
+  connection->last_used = this->loop.Now();
+  evhttp_connection_set_closecb(handle, &HttpServer::OnConnectionClosed,
+                                connection.get());
+  evbuffer_add_cb(bufferevent_get_input(connection->events),
+                  &HttpServer::OnInput, connection.get());
+  if (this->budget != nullptr) {
+    connection->account =
+        this->budget->Open(this, [handle] { evhttp_connection_free(handle); });
   }
   return *connection;
 }
@@ -316,10 +354,17 @@
   auto* closed = static_cast<Connection*>(connection);
   HttpServer* server = closed->server;
   const std::shared_ptr<HttpResponder::State> state = closed->request;
+  if (state || closed->meter.EstimateMemory() > 0) {
+    DiscardInput(bufferevent_getfd(closed->events));
+  }
+  evbuffer_remove_cb(bufferevent_get_input(closed->events),
+                     &HttpServer::OnInput, closed);
+  if (server->budget != nullptr) server->budget->Close(closed->account);
   server->open_connections.erase(handle);
   if (!state) return;
   if (state->answered) ++server->unwritten_count;
   state->request = nullptr;
+  state->budget = nullptr;
   EndRequest(*state);
 }
 
@@ -327,8 +372,13 @@
   auto state = std::make_shared<HttpResponder::State>();
   state->request = request;
   this->responders->push_back(state);
-  Connection& connection = this->FindConnection(request);
+  Connection& connection =
+      this->FindConnection(evhttp_request_get_connection(request));
   connection.request = state;
+  state->budget = this->budget;
+  state->account = connection.account;
+  state->loop = &this->loop;
+  state->on_excess = this->close_excess.get();
   connection.last_used = this->loop.Now();
   this->latest_request = connection.last_used;
   this->KeepWithinLimit();
@@ -340,12 +390,23 @@
     if (found == this->open_connections.end()) return;
     found->second->request = nullptr;
     found->second->last_used = this->loop.Now();
+    if (this->budget != nullptr) {
+      this->budget->OnAnswerSent(found->second->account, this->loop.Now());
+    }
   };
   HttpRequest received;
   received.method = ToMethod(evhttp_request_get_command(request));
   received.headers = CopyHeaders(evhttp_request_get_input_headers(request));
   ReadTarget(request, &received);
   received.body = CopyBody(request);
+  FreeHeaders(request);
+  this->MeterRest(connection);
+  if (this->budget != nullptr) {
+    const size_t target_bytes =
+        std::string_view(evhttp_request_get_uri(request)).size();
+    this->budget->OnComplete(connection.account, kCopiesOfTarget * target_bytes,
+                             connection.meter.EstimateMemory());
+  }
   const EventPriority connection_priority = this->priority != nullptr
                                                 ? this->priority(received)
                                                 : EventPriority::kBulk;
--- a/src/agatepass/base/http_server.h
+++ b/src/agatepass/base/http_server.h
@@ -16,8 +16,12 @@
 #include "absl/status/status.h"
 #include "agatepass/base/event_loop.h"
 #include "agatepass/base/http_message.h"
+#include "agatepass/base/receive_budget.h"
+#include "agatepass/base/request_meter.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
@@ -30,15 +34,18 @@
 struct HttpServerLimits {
   size_t header_bytes = 16 * 1024;
   size_t body_bytes = 1024 * 1024;
-  /** Connections on which requests have arrived that are kept open: beyond, the
-   * one that was idle for longest is closed, and none is accepted while all are
-   * in use. */
+  /** Connections that are kept open: beyond, the one that was idle for longest
+   * is closed, then those that have not sent a whole request, and none is
+   * accepted while all are in use. */
   size_t connections = 1'000'000;
   /** Time after which a silent connection is closed. */
   Duration idle_time = std::chrono::seconds(60);
   /** Returns the priority of a connection's events after this request; kBulk
    * for all if it is null. */
   EventPriority (*priority)(const HttpRequest&) = nullptr;
+  /** Bounds the memory of what is received and sent, together with other
+   * servers; none if it is null. Must outlive the server. */
+  ReceiveBudget* budget = nullptr;
 };
 
 /** The open end of one request: answers it once, now or later.
@@ -58,6 +65,11 @@
     /** Runs once: when the answer's last byte was passed to the kernel, or when
      * the connection has ended. */
     std::function<void()> on_done;
+    /** Is told of the answer; null if there is none, or the server is gone. */
+    ReceiveBudget* budget = nullptr;
+    ReceiveBudget::Id account = 0;
+    const EventLoop* loop = nullptr;
+    LoopEvent* on_excess = nullptr;
   };
 
   HttpResponder() = default;
@@ -97,7 +109,7 @@
    */
   absl::Status Listen(const Endpoint& endpoint);
 
-  /** Open connections on which a request has arrived. */
+  /** Open connections. */
   size_t connections() const { return this->open_connections.size(); }
 
   /** Times so far that accepting was paused, as all connections allowed were in
@@ -129,10 +141,17 @@
   Instant last_request_at() const { return this->latest_request; }
 
  private:
-  /** A connection on which a request has arrived. */
+  /** Time for which no connection is accepted after one could not be. */
+  static constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+
+  /** An open connection. */
   struct Connection {
     HttpServer* server = nullptr;
     evhttp_connection* handle = nullptr;
+    bufferevent* events = nullptr;
+    ReceiveBudget::Id account = 0;
+    /** The request that is being received, with what was sent ahead of it. */
+    RequestMeter meter;
     /** The request in progress, until its answer is written. */
     std::shared_ptr<HttpResponder::State> request;
     Instant last_used;
@@ -141,12 +160,23 @@
   static bufferevent* OnAccepted(event_base* base, void* self);
   static void OnRequest(evhttp_request* request, void* self);
   static void OnConnectionClosed(evhttp_connection* handle, void* connection);
+  static void OnInput(evbuffer* input, const evbuffer_cb_info* info,
+                      void* connection);
+  /** Adds the connections that were accepted since. */
+  void RegisterAccepted();
+  /** Counts what a connection holds that was received after its latest whole
+   * request. */
+  void MeterRest(Connection& connection);
   void CloseListener();
   void Receive(evhttp_request* request);
-  Connection& FindConnection(evhttp_request* request);
-  /** Closes connections that are idle, those idle for longest first.
+  Connection& FindConnection(evhttp_connection* handle);
+  /** Closes connections on which no request is handled: those without a begun
+   * request first, then those idle for longest.
    * \return how many were closed. */
   size_t CloseIdle(size_t max_count);
+  /** Closes connections beyond the limit, as far as they are idle.
+   * \return whether there are still more than the limit. */
+  bool CloseBeyondLimit();
   /** Makes room for the connection that has just been accepted. */
   void KeepWithinLimit();
   /** Accepts no connection for a while; those that come wait in the kernel. */
@@ -163,6 +193,17 @@
   std::unique_ptr<LoopEvent> next_round;
   std::unique_ptr<LoopEvent> resume_accepting;
   std::unique_ptr<LoopEvent> close_listener;
+  /** Accepted connections that are not registered yet, and the event that
+   * registers them before anything is read from them. */
+  std::vector<bufferevent*> accepted;
+  std::unique_ptr<LoopEvent> register_accepted;
+  /** Closes what exceeds the budget, outside of the callback of a connection,
+   * and, from time to time, what is overdue. */
+  std::unique_ptr<LoopEvent> close_excess;
+  std::unique_ptr<LoopEvent> close_overdue;
+  ReceiveBudget* budget = nullptr;
+  /** Most bytes that are read from a connection ahead of its requests. */
+  size_t max_read_ahead = 0;
   uint64_t pause_count = 0;
   uint64_t idle_closed_count = 0;
   uint64_t unwritten_count = 0;
--- a/src/agatepass/pool/call_queue.h
+++ b/src/agatepass/pool/call_queue.h
@@ -41,10 +41,15 @@
    * too late.
    * \param patience time for which its host waits for the answer. */
   bool MustReject(base::Duration patience, base::Instant now) const {
-    return this->calls.size() >= kMaxCalls || this->bytes >= kMaxBytes ||
+    return this->IsFull() ||
            this->OldestAge(now) > std::min(kMaxWait, patience / 2);
   }
 
+  /** Whether the calls that wait take all the memory that they may. */
+  bool IsFull() const {
+    return this->calls.size() >= kMaxCalls || this->bytes >= kMaxBytes;
+  }
+
   /** Records that a call was rejected. */
   void OnRejected() { ++this->rejected_count; }
 
--- a/src/agatepass/pool/call_router.cpp
+++ b/src/agatepass/pool/call_router.cpp
@@ -34,8 +34,10 @@
 CallId CallRouter::Add(PeerCall call, base::Duration timeout,
                        base::Instant now) {
   const CallId id = this->next_call_id++;
-  const size_t call_bytes =
-      call.verb == PeerVerb::kSubmit ? DefinitionCost(call.submission) : 0;
+  size_t call_bytes = call.target.host.size() + call.target.path.size() +
+                      call.target.api_key.size() + call.job.value.size();
+  if (call.verb == PeerVerb::kSubmit)
+    call_bytes += DefinitionCost(call.submission);
   if (this->calls.size() >= kMaxCalls ||
       this->bytes + call_bytes > kMaxCallBytes) {
     this->effects.emplace_back(
--- a/src/agatepass/pool/call_router.h
+++ b/src/agatepass/pool/call_router.h
@@ -88,7 +88,7 @@
   /** Maximum number of queued calls, to bound memory; further calls are
    * rejected. */
   static constexpr size_t kMaxCalls = 2000;
-  /** Memory that the submissions of waiting calls may take, estimated. */
+  /** Memory that waiting calls may take, estimated. */
   static constexpr size_t kMaxCallBytes = size_t{32} * 1024 * 1024;
 
   /** Queues a call.
