Count a crash after a takeover only if the run had begun

Cause: the number of a trial is stored before the trial is requested (at_risk_run), and a successor that found the run nowhere counted a crash. A job failed after four changes of planner although only its first run had begun. The end of an earlier failed run, which its worker lists in each term until it is acknowledged, also cleared the crashes of later runs.

Change: begun_run is stored when the worker confirms a run at risk, or when the worker of an unproven run falls silent, and removed once the planner has decided what became of the run or the worker has outlived its probation. A successor counts only that run. It is the ninth value of a task's row, which older releases ignore; their records are evidence only of the crashes that they name. A run clears the crashes up to its own number.

--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -62,10 +62,11 @@
       const bool has_crashes =
           !task.crashed_runs.empty() || task.at_risk_run > task.ended_run;
       if (task.ended_run == 0 && failed_runs.empty() && !has_crashes) continue;
-      progress.tasks.push_back({step->occurrence, step->step_index, i,
-                                task.ended_run, failed_runs, task.checkpoint,
-                                task.crashed_runs,
-                                has_crashes ? task.at_risk_run : 0});
+      progress.tasks.push_back(
+          {step->occurrence, step->step_index, i, task.ended_run, failed_runs,
+           task.checkpoint, task.crashed_runs,
+           has_crashes ? task.at_risk_run : 0,
+           task.begun_run > task.ended_run ? task.begun_run : 0});
     }
   }
   return progress;
--- a/src/agatepass/pool/planner_crashes.cpp
+++ b/src/agatepass/pool/planner_crashes.cpp
@@ -41,9 +41,8 @@
     TaskState& task = run->step->tasks[run->task.index];
     if (!IsUnproven(*run) || !IsAcknowledged(*run)) continue;
     queues[run->task.job] = run->step->job->job.queue;
-    if (task.at_risk_run >= run->run_number) continue;
-    task.at_risk_run = run->run_number;
-    this->MarkChanged(*run->step->job);
+    task.at_risk_run = std::max(task.at_risk_run, run->run_number);
+    this->RecordBegun(*run);
   }
   if (queues.empty()) return;
   UnblamedSilence& silence = this->unblamed_silences.emplace_back();
@@ -162,16 +161,21 @@
                                  const PlannerTime& time) {
   TaskState& task = step.tasks[index];
   task.proven = true;
-  if (task.crashed_runs.empty()) return;
-  const JobState& job = *step.job;
-  this->log.Add(
-      time.now, "task cleared of crashes",
-      "task={} run={} crashes={} reason=\"{}\"",
-      ToString(TaskName{job.job.id, step.occurrence, step.step_index, index}),
-      run, task.crashed_runs.size(), reason);
-  if (this->IsSuspect(task)) ++this->totals.suspects_cleared;
-  task.crashed_runs.clear();
+  const bool was_suspect = this->IsSuspect(task);
+  // The end of an earlier run, which each planner may read again, tells nothing
+  // of later crashes.
+  const size_t cleared = std::erase_if(
+      task.crashed_runs,
+      [run](const CrashedRun& crash) { return crash.run <= run; });
+  if (cleared == 0) return;
+  this->log.Add(time.now, "task cleared of crashes",
+                "task={} run={} crashes={} left={} reason=\"{}\"",
+                ToString(TaskName{step.job->job.id, step.occurrence,
+                                  step.step_index, index}),
+                run, cleared, task.crashed_runs.size(), reason);
+  if (was_suspect && !this->IsSuspect(task)) ++this->totals.suspects_cleared;
   if (task.at_risk_run <= run) task.at_risk_run = 0;
+  if (task.begun_run <= run) task.begun_run = 0;
   this->MarkChanged(*step.job);
 }
 
@@ -180,17 +184,30 @@
                 [run](const CrashedRun& crash) { return crash.run == run; });
 }
 
+void PoolPlanner::RecordBegun(const RunState& run) {
+  if (run.step == nullptr || !run.step->job->IsOpen()) return;
+  TaskState& task = run.step->tasks[run.task.index];
+  if (task.at_risk_run != run.run_number) return;
+  const bool unproven = IsUnproven(run);
+  if (unproven && task.begun_run == run.run_number) return;
+  task.begun_run = unproven ? run.run_number : 0;
+  // A successor knows nothing of what the worker has outlived.
+  if (!unproven) task.at_risk_run = 0;
+  this->MarkChanged(*run.step->job);
+}
+
 void PoolPlanner::CountInheritedRisks(const PlannerTime& time) {
   if (this->inherited_risks.empty()) return;
   if (!this->CanStartInheritedJobs(time.now)) return;
   for (const TaskName& name : std::exchange(this->inherited_risks, {})) {
     StepState* step = this->FindStep(name);
     if (step == nullptr || !step->job->IsOpen()) continue;
-    const TaskState& task = step->tasks[name.index];
+    TaskState& task = step->tasks[name.index];
     const bool accounted_for =
-        task.current_run != nullptr || task.ended_run >= task.at_risk_run;
+        task.current_run != nullptr || task.ended_run >= task.begun_run;
     if (accounted_for) continue;
-    this->AddCrash(*step, name.index, {.run = task.at_risk_run}, {}, time);
+    const RunNumber lost = std::exchange(task.begun_run, 0);
+    this->AddCrash(*step, name.index, {.run = lost}, {}, time);
   }
 }
 
--- a/src/agatepass/pool/planner_runs.cpp
+++ b/src/agatepass/pool/planner_runs.cpp
@@ -253,7 +253,13 @@
   const RunNumber number = run.run_number;
   this->ReleaseRun(run);
   if (step == nullptr || !step->job->IsOpen()) return;
-  step->tasks[index].earliest_start = earliest_start + kRestartDelay;
+  TaskState& task = step->tasks[index];
+  task.earliest_start = earliest_start + kRestartDelay;
+  if (task.begun_run == number) {
+    // Whether it crashed its worker is decided: no successor judges it again.
+    task.begun_run = 0;
+    this->MarkChanged(*step->job);
+  }
   if (step->definition->gang) this->StopGangMembers(*step, number, time.now);
 }
 
@@ -305,6 +311,7 @@
   if (reply.result == WorkerCallResult::kDone) {
     run->start_confirmed_at = time.now;
     if (run->step != nullptr) run->step->job->MarkBegun();
+    this->RecordBegun(*run);
   }
   // Any incarnation may have answered; the next sync shows what the current one
   // has of the run.
--- a/src/agatepass/pool/planner_syncs.cpp
+++ b/src/agatepass/pool/planner_syncs.cpp
@@ -231,6 +231,7 @@
     run->worker_restarted = false;
     run->listed = true;
     if (run->step != nullptr) run->step->job->MarkBegun();
+    this->RecordBegun(*run);
     this->CheckProgress(*run, report.percent, time);
     if (run->step != nullptr && !report.checkpoint.empty()) {
       run->step->tasks[report.task.index].checkpoint = report.checkpoint;
@@ -332,6 +333,7 @@
   if (!report.checkpoint.empty())
     step->tasks[report.task.index].checkpoint = report.checkpoint;
   step->job->MarkBegun();
+  this->RecordBegun(run);
 }
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/planner_trials.cpp
+++ b/src/agatepass/pool/planner_trials.cpp
@@ -230,8 +230,7 @@
         step, std::vector{std::make_pair(best->worker, fits)}, time);
     return;
   }
-  // Recorded no sooner than it can start: a next planner counts what it finds
-  // nowhere, started or not.
+  // Recorded no sooner than it can start, which saves writes.
   bool recorded = true;
   for (const uint32_t index : std::span(indices).first(fits)) {
     const TaskState& task = step.tasks[index];
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -202,9 +202,10 @@
     task.checkpoint = stored.checkpoint;
     task.crashed_runs = stored.crashed_runs;
     task.at_risk_run = stored.at_risk_run;
+    task.begun_run = stored.begun_run;
     for (const CrashedRun& crash : task.crashed_runs)
       task.last_run = std::max(task.last_run, crash.run);
-    if (task.at_risk_run > task.ended_run) {
+    if (task.begun_run > task.ended_run) {
       this->inherited_risks.push_back(name);
     }
     if (step->definition->gang) {
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -455,14 +455,18 @@
   /** Adds a crash to the task's history and judges the task. */
   void AddCrash(StepState& step, uint32_t index, const CrashedRun& crash,
                 const CrashEvidence& evidence, const PlannerTime& time);
-  /** Forgets the crashes under a task, as it is proven harmless.
+  /** Forgets the crashes under a task up to a run that proves it harmless.
    * \param run the run that proves it. */
   void ClearSuspicion(StepState& step, uint32_t index, RunNumber run,
                       std::string_view reason, const PlannerTime& time);
   /** Forgets that a run was lost in a crash, as its worker lists its end. */
   void WithdrawCrash(TaskState& task, RunNumber run);
-  /** Counts the runs at risk of earlier terms that no worker has, once all
-   * workers are synced or their leases have expired. */
+  /** Has it stored that a run at risk has begun, as its worker confirmed it, so
+   * that a successor that finds it nowhere counts a crash; or that its worker
+   * has outlived it. */
+  void RecordBegun(const RunState& run);
+  /** Counts the runs at risk of earlier terms that had begun and that no worker
+   * has, once all workers are synced or their leases have expired. */
   void CountInheritedRisks(const PlannerTime& time);
 
   // planner_trials.cpp
@@ -479,8 +483,10 @@
   /** Whether a trial began on the worker a short while ago, so that others
    * should keep away. */
   bool WasOnTrialLately(const WorkerState& worker, base::Instant now) const;
-  /** Whether the task's next trial would be known to the next planner, even if
-   * this one is lost in it; otherwise its record is about to be written. */
+  /** Whether the crashes before the task's next trial, and that trial's number,
+   * are known to the next planner; otherwise their record is about to be
+   * written. The next planner counts the trial only once its beginning is
+   * recorded too (`RecordBegun`). */
   bool IsTrialRecorded(StepState& step, uint32_t index, RunNumber run);
   /** Same, for all suspected members of a gang. */
   bool IsGangTrialRecorded(StepState& step, RunNumber run);
@@ -762,7 +768,8 @@
   /** Runs that began as a trial and whose workers have not outlived their
    * probation. */
   std::set<RunKey> runs_on_probation;
-  /** Tasks whose run at risk of an earlier term is not accounted for. */
+  /** Tasks whose run at risk of an earlier term had begun and is not accounted
+   * for. */
   std::vector<TaskName> inherited_risks;
   CrashWatch crash_watch;
   /** Silences of workers with unproven runs that no queue is blamed for yet. */
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -133,9 +133,13 @@
   /** Runs that were lost because their workers crashed, since a run of it was
    * last proven harmless. */
   std::vector<CrashedRun> crashed_runs;
-  /** The run that the next planner shall count as crashed if it finds it
-   * nowhere; 0 for none. */
+  /** The run that was recorded as a risk for its worker, whether or not it has
+   * begun; 0 for none. */
   RunNumber at_risk_run = 0;
+  /** The run at risk that its worker confirmed and is not known to have
+   * outlived: the next planner counts it as crashed if it finds it nowhere. 0
+   * for none. */
+  RunNumber begun_run = 0;
   /** Number of the job's changes that must be stored before its next trial. */
   uint64_t changes_before_trial = 0;
   /** Whether a worker has outlived a start of it. */
--- a/src/agatepass/pool/record_codec.cpp
+++ b/src/agatepass/pool/record_codec.cpp
@@ -101,19 +101,26 @@
   return policy;
 }
 
-/** Number of values in the row of a task under which no worker has crashed. */
+/** Number of values in the row of a task under which no worker has crashed, and
+ * of one that has no run at risk which is known to have begun. Older releases
+ * write at most the latter, and ignore further values. */
 constexpr size_t kValuesWithoutCrashes = 6;
+constexpr size_t kValuesWithoutBegunRun = 8;
 
 Json EncodeTask(const TaskProgress& task) {
   Json row = {task.occurrence, task.step,        task.index,
               task.ended_run,  task.failed_runs, task.checkpoint};
-  if (task.crashed_runs.empty() && task.at_risk_run == 0) return row;
+  if (task.crashed_runs.empty() && task.at_risk_run == 0 &&
+      task.begun_run == 0) {
+    return row;
+  }
   row.push_back(task.at_risk_run);
   Json crashes = Json::array();
   for (const CrashedRun& crash : task.crashed_runs) {
     crashes.push_back({crash.run, crash.survived.count(), crash.alone});
   }
   row.push_back(std::move(crashes));
+  if (task.begun_run != 0) row.push_back(task.begun_run);
   return row;
 }
 
@@ -132,6 +139,8 @@
          .survived = base::Duration(crash.at(1).get<int64_t>()),
          .alone = crash.at(2).get<bool>()});
   }
+  if (row.size() > kValuesWithoutBegunRun)
+    task.begun_run = row.at(8).get<RunNumber>();
   return task;
 }
 
--- a/src/agatepass/pool/record_codec.h
+++ b/src/agatepass/pool/record_codec.h
@@ -47,9 +47,12 @@
   std::string checkpoint;
   /** Runs that were lost because their workers crashed. */
   std::vector<CrashedRun> crashed_runs;
-  /** A run that counts as crashed if no worker has it or lists its end; 0 for
-   * none. */
+  /** A run that may crash its worker, recorded before it is requested; it need
+   * not have begun. 0 for none. */
   RunNumber at_risk_run = 0;
+  /** A run that its worker confirmed, and is not known to have outlived; it
+   * counts as crashed if no worker has it or lists its end. 0 for none. */
+  RunNumber begun_run = 0;
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/src/agatepass/pool/tests/record_codec_test.cpp
+++ b/src/agatepass/pool/tests/record_codec_test.cpp
@@ -60,7 +60,8 @@
                 {.step = 1,
                  .index = 8,
                  .crashed_runs = {{.run = 1}, {2, base::Duration(700), true}},
-                 .at_risk_run = 3}}};
+                 .at_risk_run = 3,
+                 .begun_run = 3}}};
   const absl::StatusOr<JobProgress> decoded =
       DecodeProgress(EncodeProgress(progress));
   ASSERT_TRUE(decoded.ok()) << decoded.status();
@@ -75,6 +76,17 @@
             (std::vector<TaskProgress>{{0, 1, 7, 3, {1, 3}, "saved"}}));
 }
 
+// Guards against taking the risk that an older release recorded before a start
+// for evidence that the run began.
+TEST(RecordCodec, ReadsTasksOfReleasesThatDidNotStoreWhichRunsBegan) {
+  const auto progress = DecodeProgress(
+      R"({"phase":"running","tasks":[[0,1,7,1,[],"",3,[[2,700,true]]]]})");
+  ASSERT_TRUE(progress.ok()) << progress.status();
+  EXPECT_EQ(progress->tasks,
+            (std::vector<TaskProgress>{
+                {0, 1, 7, 1, {}, "", {{2, base::Duration(700), true}}, 3, 0}}));
+}
+
 TEST(RecordCodec, RejectsMalformedRecords) {
   EXPECT_FALSE(DecodeJob("{").ok());
   EXPECT_FALSE(DecodeJob("[]").ok());
