Test containment when each trial's planner is lost with the worker

Cause: a trial now counts only once its beginning is stored, so a planner that is lost too soon after the start leaves no evidence.

--- a/src/agatepass/pool/tests/crashing_task_test.cpp
+++ b/src/agatepass/pool/tests/crashing_task_test.cpp
@@ -74,6 +74,24 @@
   EXPECT_EQ(this->PhaseOf("crasher"), JobPhase::kFailed);
 }
 
+// Guards against evidence of a trial's beginning that is stored too late for
+// the successor of a planner that is lost together with the worker.
+TEST_F(CrashingTask, IsRememberedWhenThePlannerIsLostWithTheWorkerOfEachTrial) {
+  this->cell.RunFor(seconds(1));
+  this->SubmitCrashingJob("crasher");
+  int starts = 0;
+  for (int i = 0; i < 60'000; ++i) {
+    this->cell.RunFor(milliseconds(1));
+    if (this->cell.CountStarts(this->crasher) == starts) continue;
+    starts = this->cell.CountStarts(this->crasher);
+    // Nothing is recorded of the first start before its worker is lost.
+    this->cell.RunFor(starts == 1 ? milliseconds(200) : PoolCell::kCrashDelay);
+    this->cell.KillPlanners(milliseconds(300));
+  }
+  this->ExpectNoViolations();
+  EXPECT_EQ(this->PhaseOf("crasher"), JobPhase::kFailed);
+}
+
 TEST_F(CrashingTask, IsNotForgottenInAnOutageOfTheStore) {
   this->cell.RunFor(seconds(1));
   this->SubmitCrashingJob("crasher");
