Let submissions wait in the planner while the store is down

Cause: the planner rejected each submission while three commits in a row had failed, with a Retry-After as long as the outage had lasted, and noticed the store's return by one probe at a time, 250 ms after the failure of the last.

Change: the planner is told how long the caller's host waits. While the store is down, submissions wait, and so do jobs that no commit has carried and jobs whose commit was provably not carried out. A commit each 100 ms probes the store, one at a time with writes. The first answer to any commit ends the outage: what waits is admitted in its order, as much as the commits hold. Commits that were sent well before an answered one no longer count as failures when they time out, and unanswered probes do not take the place of writes. At a handover or the end of the term what waits is answered by kPeerUnreachable with term_ended.

--- a/fakes/pool_cell.cpp
+++ b/fakes/pool_cell.cpp
@@ -264,12 +264,12 @@
   this->ReportWorker(index);
 }
 
-void PoolCell::Submit(pool::Job job) {
+void PoolCell::Submit(pool::Job job, base::Duration patience) {
   this->submitted.try_emplace(job.id, job);
   if (pool::PoolPlanner* planner = this->planner()) {
     const pool::CallId call = this->next_call++;
     this->submit_calls[call] = job.id;
-    planner->Submit(call, std::move(job), this->GetPlannerTime());
+    planner->Submit(call, std::move(job), this->GetPlannerTime(), patience);
   }
 }
 
--- a/fakes/pool_cell.h
+++ b/fakes/pool_cell.h
@@ -78,8 +78,10 @@
   ~PoolCell();
 
   /** Submits a job to the leader, whose answers are available from Answers().
-   * Without a leader the call is dropped and gets no answer. */
-  void Submit(pool::Job job);
+   * Without a leader the call is dropped and gets no answer.
+   * \param patience time for which the caller waits for the answer; with zero
+   *     the job does not wait for the store. */
+  void Submit(pool::Job job, base::Duration patience = base::Duration(0));
   /** Cancels a job; dropped like a submission while there is no leader. */
   void Cancel(const base::JobId& job);
 
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -275,7 +275,7 @@
    * started. */
   uint64_t pending = 0;
   /** Whether the term ended before the planner could answer; the next planner
-   * may be asked. */
+   * may be asked. With kPeerUnreachable the call was not executed. */
   bool term_ended = false;
   /** With kNotFound: whether it is the queue that does not exist, not the job.
    */
--- a/src/agatepass/pool/planner_callers.cpp
+++ b/src/agatepass/pool/planner_callers.cpp
@@ -49,16 +49,30 @@
                                        .detail = std::move(reason)});
 }
 
-void PoolPlanner::Submit(CallId call, Job job, const PlannerTime& time) {
+void PoolPlanner::Reject(std::span<const SubmitCall> calls, const Job& job,
+                         base::ResultCode code, base::Duration retry_after,
+                         const std::string& reason, const PlannerTime& time) {
+  for (const SubmitCall& call : calls) {
+    this->Reject(call.call, job, code, retry_after, reason, time);
+  }
+}
+
+void PoolPlanner::Submit(CallId call, Job job, const PlannerTime& time,
+                         base::Duration patience) {
+  const SubmitCall submit{.call = call, .given_up_at = time.now + patience};
   if (const auto existing = this->jobs.find(job.id);
       existing != this->jobs.end()) {
     if (existing->second->stored) {
       this->Answer(call, base::ResultCode::kAccepted);
     } else {
-      existing->second->waiting_submits.push_back(call);
+      existing->second->waiting_submits.push_back(submit);
     }
     return;
   }
+  if (this->waiting.Contains(job.id)) {
+    this->JoinWaiting(submit, job.id, time);
+    return;
+  }
   const Queue* queue = this->queues.Find(job.queue);
   if (queue == nullptr) {
     this->Reject(call, job, base::ResultCode::kNotFound, base::Duration(0),
@@ -70,42 +84,53 @@
                  base::Duration(0), std::move(error), time);
     return;
   }
-  if (this->handing_over || this->store_health.IsDown()) {
-    this->Reject(call, job, base::ResultCode::kStoreUnreachable,
-                 this->store_health.RetryAfter(time.now),
-                 "the store does not take writes now", time);
+  if (this->handing_over) {
+    this->effects.push_back(MakeNextPlannerAnswer(call));
+    return;
+  }
+  // Those that wait go first, in their order.
+  if (this->store_health.IsDown() ||
+      (!this->waiting.empty() &&
+       WaitingSubmissions::LeavesTime(submit, time.now))) {
+    this->WaitForStore(std::span(&submit, 1), job, queue->policy.priority,
+                       "the store does not take writes now", time);
     return;
   }
-  if (!this->FitsAnyWorker(job, queue->policy.service)) {
-    this->Reject(call, job, base::ResultCode::kCanNeverRun,
+  this->Admit(std::span(&submit, 1), std::move(job), *queue, time);
+}
+
+void PoolPlanner::Admit(std::span<const SubmitCall> calls, Job job,
+                        const Queue& queue, const PlannerTime& time) {
+  if (!this->FitsAnyWorker(job, queue.policy.service)) {
+    this->Reject(calls, job, base::ResultCode::kCanNeverRun,
                  kNeverFitsRetryDelay, "a task is larger than every worker",
                  time);
     return;
   }
   if (!this->FitsTeamCap(job)) {
     ++this->counts_by_team[job.team].rejected_by_cap;
-    this->Reject(call, job, base::ResultCode::kCanNeverRun,
+    this->Reject(calls, job, base::ResultCode::kCanNeverRun,
                  kNeverFitsRetryDelay,
                  "a task or a gang needs more than the cap of its team", time);
     return;
   }
   if (!this->memory.FitsSubmission(DefinitionCost(job) + OccurrenceCost(job))) {
-    this->Reject(call, job, base::ResultCode::kOverloaded, kMemoryRetryDelay,
+    this->Reject(calls, job, base::ResultCode::kOverloaded, kMemoryRetryDelay,
                  "the work accepted before it leaves no memory for it", time);
     return;
   }
-  if (const auto retry_delay = this->CheckTeamCap(job, *queue, time)) {
+  if (const auto retry_delay = this->CheckTeamCap(job, queue, time)) {
     ++this->counts_by_team[job.team].rejected_by_cap;
-    this->Reject(call, job, base::ResultCode::kOverloaded, *retry_delay,
+    this->Reject(calls, job, base::ResultCode::kOverloaded, *retry_delay,
                  "it would end too late under the cap of its team", time);
     return;
   }
   const bool within_share = this->team_shares.IsWithin(job.team, time.now);
   if (const auto retry_delay =
-          this->CheckOverload(job, *queue, within_share, time)) {
+          this->CheckOverload(job, queue, within_share, time)) {
     if (!within_share) ++this->counts_by_team[job.team].rejected_by_share;
     this->Reject(
-        call, job, base::ResultCode::kOverloaded, *retry_delay,
+        calls, job, base::ResultCode::kOverloaded, *retry_delay,
         within_share
             ? "it would end too late behind the work accepted before it"
             : "it is beyond the share of its team while all capacity is in use",
@@ -113,7 +138,7 @@
     return;
   }
   job.accepted_ms = time.wall_ms;
-  job.policy = queue->policy;
+  job.policy = queue.policy;
   JobState& state = this->AddJob(std::move(job), time);
   state.beyond_share = !within_share;
   this->CountAcceptedOfTeam(state, time.now);
@@ -123,7 +148,7 @@
     this->capacity.OnAccepted(state.policy.priority, CountTasks(state.job),
                               time.now);
   }
-  state.waiting_submits.push_back(call);
+  state.waiting_submits.assign(calls.begin(), calls.end());
   this->QueueWrite(state);
   this->scheduling_needed = true;
 }
@@ -189,13 +214,7 @@
   return added;
 }
 
-void PoolPlanner::RejectUnstored(JobState& job, const PlannerTime& time) {
-  const std::vector<CallId> calls = std::move(job.waiting_submits);
-  for (const CallId call : calls) {
-    this->Reject(call, job.job, base::ResultCode::kStoreUnreachable,
-                 this->store_health.RetryAfter(time.now),
-                 "the store did not take the job", time);
-  }
+void PoolPlanner::RemoveUnstored(JobState& job, const PlannerTime& time) {
   for (const CallId call : job.waiting_cancels) {
     this->Answer(call, base::ResultCode::kNotFound);
   }
@@ -217,6 +236,12 @@
 
 void PoolPlanner::Cancel(CallId call, const base::JobId& id,
                          const PlannerTime& time) {
+  if (const auto waiting = this->waiting.Take(id)) {
+    this->Reject(waiting->calls, waiting->job,
+                 base::ResultCode::kStoreUnreachable,
+                 this->store_health.RetryAfter(time.now),
+                 "cancelled while it waited for the store", time);
+  }
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) {
     this->effects.push_back(StoreCheck{.call = call, .job = id});
--- a/src/agatepass/pool/planner_commits.cpp
+++ b/src/agatepass/pool/planner_commits.cpp
@@ -28,6 +28,13 @@
   return bytes;
 }
 
+/** Whether a commit writes anything; others only probe the store. */
+bool HasWrites(const SentCommit& commit) {
+  return commit.roster || !commit.created.empty() ||
+         !commit.progress_written.empty() || !commit.removed.empty() ||
+         !commit.compacted.empty();
+}
+
 /** Appends task `index` to the ranges, or extends the last range by it. */
 void AddSucceeded(std::vector<SucceededRange>& ranges, const StepState& step,
                   uint32_t index) {
@@ -118,16 +125,22 @@
 }
 
 void PoolPlanner::SendCommits(const PlannerTime& time) {
-  // While the store is down, one commit at a time probes whether it is
-  // available again.
-  const bool probing = this->store_health.IsDown();
-  const size_t max_in_flight =
-      probing ? 1 : this->options.max_commits_in_flight;
-  while (this->commits.size() < max_in_flight && this->IsCommitDue(time.now)) {
+  if (this->IsProbing()) {
+    this->SendProbe(time);
+    return;
+  }
+  // Probes that an outage left unanswered must not hold back the writes after
+  // it until they time out.
+  auto in_flight = static_cast<size_t>(
+      std::count_if(this->commits.begin(), this->commits.end(),
+                    [](const auto& entry) { return HasWrites(entry.second); }));
+  for (; in_flight < this->options.max_commits_in_flight &&
+         this->IsCommitDue(time.now);
+       ++in_flight) {
     const bool has_backlog = this->HasWriteBacklog();
     StoreCommit commit;
     SentCommit sent;
-    if (!this->FillCommit(commit, sent, time) && !probing) break;
+    if (!this->FillCommit(commit, sent, time)) break;
     commit.id = this->next_commit_id++;
     sent.sent_at = time.now;
     this->commits.emplace(commit.id, std::move(sent));
@@ -219,7 +232,7 @@
   if (sent.roster) this->roster_in_flight = false;
   const bool answered = reply.outcome == platform::Outcome::kDone ||
                         reply.outcome == platform::Outcome::kRefused;
-  if (answered) this->store_health.OnAnswer();
+  if (answered) this->OnStoreAnswer(sent.sent_at, time.now);
   if (reply.lost_leadership) {
     this->EndLeadership("the store holds the key of another planner");
     return;
@@ -245,8 +258,8 @@
                 job.job.id.value, job.job.queue, job.policy.priority,
                 job.job.steps.size(),
                 base::ToMilliseconds(job.objective_end - job.accepted_at));
-  for (const CallId call : std::exchange(job.waiting_submits, {})) {
-    this->Answer(call, base::ResultCode::kAccepted);
+  for (const SubmitCall& submit : std::exchange(job.waiting_submits, {})) {
+    this->Answer(submit.call, base::ResultCode::kAccepted);
   }
 }
 
@@ -328,9 +341,11 @@
 
 void PoolPlanner::RetryCommit(const SentCommit& sent, platform::Outcome outcome,
                               const PlannerTime& time) {
+  const bool was_down = this->store_health.IsDown();
   if (outcome != platform::Outcome::kRefused) {
-    this->next_commit = time.now + this->options.commit_retry_delay;
-    this->store_health.OnFailure(time.now);
+    if (this->store_health.OnFailure(sent.sent_at, time.now)) {
+      this->next_commit = time.now + this->options.commit_retry_delay;
+    }
     this->log.Add(time.now, "commit failed or unanswered",
                   "outcome=\"{}\" jobs={} progress={}",
                   platform::OutcomeName(outcome), sent.created.size(),
@@ -355,11 +370,12 @@
       this->possibly_stored_jobs.insert(id);
     }
     if (outcome == platform::Outcome::kNotSent && !job.may_be_stored) {
-      this->RejectUnstored(job, time);
+      this->WithdrawUnstored(job, "the store did not take the job", time);
       continue;
     }
     this->QueueWrite(job);
   }
+  if (!was_down && this->store_health.IsDown()) this->WithdrawUnsent(time);
 }
 
 void PoolPlanner::AnswerSubmitsOfUnknownOutcome(const PlannerTime& time) {
@@ -370,8 +386,8 @@
     if (time.now < job.accepted_at + this->options.submit_outcome_timeout) {
       return false;
     }
-    for (const CallId call : std::exchange(job.waiting_submits, {})) {
-      this->Answer(call, base::ResultCode::kOutcomeUnknown,
+    for (const SubmitCall& submit : std::exchange(job.waiting_submits, {})) {
+      this->Answer(submit.call, base::ResultCode::kOutcomeUnknown,
                    "the store does not say whether it took the job");
     }
     return false;
--- a/src/agatepass/pool/planner_counts.h
+++ b/src/agatepass/pool/planner_counts.h
@@ -17,6 +17,11 @@
 struct PlannerCounts {
   uint64_t accepted = 0;
   uint64_t rejected = 0;
+  /** Jobs that waited for the store, and of these the ones that were taken when
+   * it answered, and that were rejected as their callers left no more time. */
+  uint64_t submissions_delayed = 0;
+  uint64_t submissions_taken = 0;
+  uint64_t submissions_expired = 0;
   uint64_t starts = 0;
   /** Starts that the worker did not carry out, or that were not sent. */
   uint64_t starts_refused = 0;
--- a/src/agatepass/pool/planner_options.h
+++ b/src/agatepass/pool/planner_options.h
@@ -55,6 +55,13 @@
   /** Minimum time between two commits while more writes are pending than one
    * commit can hold; derived from the write rate that the store allows. */
   base::Duration min_backlog_commit_interval = std::chrono::milliseconds(5);
+  /** Time between two commits that probe whether the store is back. Callers
+   * wait for it meanwhile, with a few seconds left. */
+  base::Duration probe_interval = std::chrono::milliseconds(100);
+  /** Maximum number of commits in flight when a probe is sent: those of
+   * `probe_interval` within the longest time until a commit is given up, of
+   * about 1.5 s. */
+  size_t max_probes_in_flight = 16;
   /** Delay after a commit that was not sent or not answered. */
   base::Duration commit_retry_delay = std::chrono::milliseconds(250);
   /** Maximum number of commits in flight when a commit of jobs or of the roster
--- a/src/agatepass/pool/pool_planner.cpp
+++ b/src/agatepass/pool/pool_planner.cpp
@@ -235,6 +235,7 @@
       this->next_scheduling_at = time.now + kMaxSchedulingInterval;
       this->ScheduleReadySteps(time);
     }
+    this->AdvanceWaiting(time);
     this->SendCommits(time);
     this->SendSyncs(time);
     this->CompactFinalJobs(time);
@@ -267,6 +268,9 @@
 
 void PoolPlanner::EndLeadership(std::string reason) {
   if (std::exchange(this->superseded, true)) return;
+  for (CallerAnswer& answer : this->EndWaitingSubmissions()) {
+    this->effects.emplace_back(std::move(answer));
+  }
   this->effects.push_back(LeadershipLost{std::move(reason)});
 }
 
--- a/src/agatepass/pool/pool_planner.h
+++ b/src/agatepass/pool/pool_planner.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -40,6 +41,7 @@
 #include "agatepass/pool/store_health.h"
 #include "agatepass/pool/team_shares.h"
 #include "agatepass/pool/team_usage.h"
+#include "agatepass/pool/waiting_submissions.h"
 #include "agatepass/pool/worker_roster.h"
 #include "agatepass/pool/worker_state.h"
 #include "agatepass/pool/write_backlog.h"
@@ -95,8 +97,12 @@
 
   /** Accepts a job or rejects it. A job whose id is known is not added
    * again: the call gets the answer of the first. The caller is told of the
-   * acceptance once the job is in the store. */
-  void Submit(CallId call, Job job, const PlannerTime& time);
+   * acceptance once the job is in the store. While the store does not answer,
+   * the job waits if its caller leaves enough time.
+   * \param patience time for which the call's host waits for the answer; with
+   *     zero the job does not wait for the store. */
+  void Submit(CallId call, Job job, const PlannerTime& time,
+              base::Duration patience = base::Duration(0));
 
   /** Cancels a job unless it is final already. The answer follows when the
    * store holds the job's final phase. */
@@ -174,7 +180,17 @@
 
   /** Stops accepting jobs and starting tasks, before a handover to another
    * planner. */
-  void BeginHandover() { this->handing_over = true; }
+  void BeginHandover();
+
+  /** Ends the wait of all submissions that wait for the store.
+   * \return their answers, by which their hosts send them to the next planner.
+   */
+  std::vector<CallerAnswer> EndWaitingSubmissions();
+
+  /** The submissions that wait for the store. */
+  const WaitingSubmissions& waiting_submissions() const {
+    return this->waiting;
+  }
 
   /** Whether this planner's commits to the store have been failing for a while.
    */
@@ -229,6 +245,12 @@
   void Reject(CallId call, const Job& job, base::ResultCode code,
               base::Duration retry_after, std::string reason,
               const PlannerTime& time);
+  void Reject(std::span<const SubmitCall> calls, const Job& job,
+              base::ResultCode code, base::Duration retry_after,
+              const std::string& reason, const PlannerTime& time);
+  /** Accepts or rejects a job that is not known and whose queue exists. */
+  void Admit(std::span<const SubmitCall> calls, Job job, const Queue& queue,
+             const PlannerTime& time);
   /** Whether each step fits on some worker of the service, if nothing runs
    * there; true while there are no workers. */
   bool FitsAnyWorker(const Job& job, const base::ServiceId& service);
@@ -239,7 +261,39 @@
   void ApplyQueuePolicy(JobState& job);
   /** Adds a job; its occurrences are opened once they are due. */
   JobState& AddJob(Job job, const PlannerTime& time);
-  void RejectUnstored(JobState& job, const PlannerTime& time);
+  /** Forgets a job that provably is not in the store and will not be. */
+  void RemoveUnstored(JobState& job, const PlannerTime& time);
+
+  // planner_outage.cpp
+  /** Returns the answer by which a call's host sends it to the next planner. */
+  static CallerAnswer MakeNextPlannerAnswer(CallId call);
+  /** Lets a job wait for the store as far as its callers leave time, and
+   * rejects it otherwise.
+   * \param reason why it cannot be stored now. */
+  void WaitForStore(std::span<const SubmitCall> calls, const Job& job,
+                    uint32_t priority, std::string_view reason,
+                    const PlannerTime& time);
+  /** Adds a call to the job that waits under the same id. */
+  void JoinWaiting(const SubmitCall& call, const base::JobId& id,
+                   const PlannerTime& time);
+  /** Takes back an accepted job that provably is not in the store: it waits, or
+   * is rejected. */
+  void WithdrawUnstored(JobState& job, std::string_view reason,
+                        const PlannerTime& time);
+  /** Takes back the jobs that no commit has carried yet. */
+  void WithdrawUnsent(const PlannerTime& time);
+  /** Rejects what cannot wait longer, and admits as many of the others as can
+   * be written soon once the store answers. */
+  void AdvanceWaiting(const PlannerTime& time);
+  /** Whether commits only probe whether the store is back. */
+  bool IsProbing() const {
+    return this->store_health.IsDown() ||
+           (!this->waiting.empty() && !this->store_health.IsAnswering());
+  }
+  /** Sends a commit that probes whether the store is back, when it is due. */
+  void SendProbe(const PlannerTime& time);
+  /** Records that the store answered a commit that was sent then. */
+  void OnStoreAnswer(base::Instant sent_at, base::Instant now);
 
   // planner_occurrences.cpp
   /** Brings the steps of an occurrence into memory. */
@@ -795,6 +849,7 @@
    * last sent. */
   bool backlog_left = false;
   StoreHealth store_health;
+  WaitingSubmissions waiting;
   base::Instant next_removal;
   /** Final jobs whose complete definition is still in the store. */
   std::deque<base::JobId> uncompacted_jobs;
--- a/src/agatepass/pool/pool_state.h
+++ b/src/agatepass/pool/pool_state.h
@@ -26,6 +26,7 @@
 #include "agatepass/pool/record_codec.h"
 #include "agatepass/pool/step_wait.h"
 #include "agatepass/pool/team_usage.h"
+#include "agatepass/pool/waiting_submissions.h"
 #include "agatepass/pool/worker_roster.h"
 #include "agatepass/pool/worker_set.h"
 
@@ -304,7 +305,7 @@
   std::vector<base::Duration> remaining_paths;
   /** Bytes of its definition and its open occurrences, estimated. */
   size_t held_bytes = 0;
-  std::vector<CallId> waiting_submits;
+  std::vector<SubmitCall> waiting_submits;
   std::vector<CallId> waiting_cancels;
 
   bool IsOpen() const { return !IsFinal(this->phase); }
