Tell the planner how long hosts wait, and send on what only waited

Cause: the planner did not know how much time a caller leaves. A host asked it again for 400 ms after a rejection in an outage, which held the final answer back, and called each submission of a planner that left as possibly executed.

Change: the time that a host waits for an answer, less the time in the queue of calls, goes to the planner with the call. A submission rejected as kStoreUnreachable is answered at once. kPeerUnreachable with term_ended is sent to the next planner as not executed.

The hosts' processes were not run with it.

--- a/src/agatepass/pool/call_queue.h
+++ b/src/agatepass/pool/call_queue.h
@@ -60,13 +60,16 @@
     Call call;
     /** Whether its host does not wait for the answer any more. */
     bool given_up = false;
+    /** Time for which its host still waits for the answer. */
+    base::Duration patience_left{0};
   };
 
   /** Takes out the oldest call; std::nullopt if none waits. */
   std::optional<Taken> Take(base::Instant now) {
     if (this->calls.empty()) return std::nullopt;
     Entry& oldest = this->calls.front();
-    Taken taken{std::move(oldest.call), now >= oldest.given_up_at};
+    Taken taken{std::move(oldest.call), now >= oldest.given_up_at,
+                std::max(oldest.given_up_at - now, base::Duration(0))};
     this->bytes -= oldest.bytes;
     this->calls.pop_front();
     if (taken.given_up) ++this->given_up_count;
--- a/src/agatepass/pool/call_router.cpp
+++ b/src/agatepass/pool/call_router.cpp
@@ -13,10 +13,10 @@
  * long if it could not reach the store), and minimum timeout of a request. */
 constexpr base::Duration kAskRetryDelay = std::chrono::milliseconds(50);
 
-/** Maximum `retry_after` of a kStoreUnreachable answer for which the call
- * waits. A planner returns a longer one if its commits have been failing for
- * longer; since no other host has replaced it in that time, waiting is
- * pointless. */
+/** Maximum `retry_after` of a kStoreUnreachable answer for which a call waits
+ * that is not a submission. A planner returns a longer one if its commits have
+ * been failing for longer; since no other host has replaced it in that time,
+ * waiting is pointless. */
 constexpr base::Duration kMaxAwaitedOutage = std::chrono::seconds(1);
 
 /** Delay after which a rejected caller may retry while no planner is known or
@@ -83,7 +83,9 @@
   Call* call = this->FindAttempt(id, attempt);
   if (call == nullptr) return;
   if (answer.term_ended) {
-    this->OnNoAnswer(id, attempt, true, now);
+    // A call that only waited was not executed.
+    this->OnNoAnswer(id, attempt,
+                     answer.code == base::ResultCode::kOutcomeUnknown, now);
     return;
   }
   if (answer.code == base::ResultCode::kPeerUnreachable) {
@@ -91,7 +93,9 @@
     call->last_refusal = answer;
     return;
   }
+  // A submission has waited at the planner as long as that could help.
   if (answer.code == base::ResultCode::kStoreUnreachable &&
+      call->request.verb != PeerVerb::kSubmit &&
       answer.retry_after <= kMaxAwaitedOutage) {
     this->WaitForPlanner(*call, kMaxReplacementWait, 2 * kAskRetryDelay, now);
     call->last_refusal = answer;
--- a/src/agatepass/pool/call_router.h
+++ b/src/agatepass/pool/call_router.h
@@ -80,8 +80,9 @@
   static constexpr base::Duration kMaxPlannerWait =
       std::chrono::milliseconds(900);
 
-  /** Maximum time that a call waits for the replacement of a planner that
-   * cannot reach the store; the planner is asked again meanwhile. */
+  /** Maximum time that a call which is not a submission waits for the
+   * replacement of a planner that cannot reach the store; the planner is asked
+   * again meanwhile. Submissions wait at the planner. */
   static constexpr base::Duration kMaxReplacementWait =
       std::chrono::milliseconds(400);
 
