--- a/review/standin-3/cell.py
+++ b/review/standin-3/cell.py
@@ -58,6 +58,7 @@
         self.log = os.path.join(cell.folder, self.name + ".log")
         self.settings = os.path.join(cell.folder, self.name + ".ini")
         self.process = None
+        self.log_begin = 0
         self.own_ends = 0
         self.expected_end = False
         with open(TEMPLATE, encoding="utf-8") as file:
@@ -78,6 +79,7 @@
 
     async def start(self):
         with open(self.log, "ab") as log:
+            self.log_begin = log.tell()
             self.process = await asyncio.create_subprocess_exec(
                 PROGRAM, "--settings", self.settings, cwd=ROOT,
                 stdout=log, stderr=log)
@@ -109,11 +111,14 @@
         self.process.send_signal(signal.SIGKILL)
 
     def leads(self):
+        """Whether its process, unless it was killed, has a term."""
+        if self.process is None or self.process.returncode is not None:
+            return False
         with open(self.log, "rb") as log:
+            log.seek(self.log_begin)
             text = log.read()
         began = text.rfind(b'event="term begins"')
-        return began >= 0 and text.rfind(b'event="term ends"') < began and (
-            text.rfind(b'event="start"') < began)
+        return began >= 0 and text.rfind(b'event="term ends"') < began
 
     async def call(self, method, path, body=None, timeout=3.0,
                    host="desk.example"):
--- a/review/standin-3/minion.py
+++ b/review/standin-3/minion.py
@@ -105,15 +105,15 @@
             now = time.monotonic()
             if self.running and self.clock_ms() > self.deadline_ms:
                 for run in list(self.running.values()):
-                    self._end(run, "lapsed")
+                    self.end(run, "lapsed")
             for run in list(self.running.values()):
                 found = re.match(r"(ms|fail)=(\d+)", run.spec)
                 if found and now - run.began >= int(found.group(2)) / 1000:
-                    self._end(run, "done" if found.group(1) == "ms"
+                    self.end(run, "done" if found.group(1) == "ms"
                               else "failed")
             await asyncio.sleep(0.01)
 
-    def _end(self, run, how):
+    def end(self, run, how):
         if self.running.pop(run.task, None) is None:
             return
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
@@ -196,5 +196,5 @@
         if run is not None and run.number <= number and not run.stopping:
             run.stopping = True
             asyncio.get_running_loop().call_later(
-                STOP_S, self._end, run, "stopped")
+                STOP_S, self.end, run, "stopped")
         return self._answer(200)
