--- a/review/standin-3/cell.py
+++ b/review/standin-3/cell.py
@@ -71,7 +71,7 @@
                            "ready": f"{self.address}:8167"},
                 "limits": {"cpuShare": 0.25, "memoryMb": 260, "maxFds": 4100,
                            "linkMbps": 1000.0},
-                "platform": {"addr": f"{cell.network}.200:8169",
+                "platform": {"addr": cell.store_address(number),
                              "writesPerS": 400, "ttlMinMs": 1000},
                 "hint": cell.hint, "heartbeatMs": 1500,
                 "bounds": {"graceS": 6, "holdMaxMs": 10000, "stopMs": 900,
@@ -144,6 +144,10 @@
         self.hosts = []
         self.ends_by_way = {}
 
+    def store_address(self, number):
+        """Returns the address at which host `number` finds the store."""
+        return f"{self.network}.200:8169"
+
     def record(self, text):
         self.out.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
         self.out.flush()
