Log how old the configuration is by which a call is answered

On-call could not tell why an answer went by an older version: which version decided was logged, not how long before it had last been known to be the newest. No decision changes.

--- a/src/agatepass/pool/configuration_replica.h
+++ b/src/agatepass/pool/configuration_replica.h
@@ -6,11 +6,13 @@
 #ifndef AGATEPASS_POOL_CONFIGURATION_REPLICA_H_
 #define AGATEPASS_POOL_CONFIGURATION_REPLICA_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "agatepass/base/time.h"
@@ -20,6 +22,18 @@
 
 namespace agatepass::pool {
 
+/** Returns the time since `confirmed_at`, never negative; unset if that is. */
+inline std::optional<base::Duration> AgeOf(
+    std::optional<base::Instant> confirmed_at, base::Instant now) {
+  if (!confirmed_at) return std::nullopt;
+  return std::max(now - *confirmed_at, base::Duration(0));
+}
+
+/** Age in whole milliseconds for a log line or a metric; -1 for none. */
+inline int64_t AgeInMilliseconds(std::optional<base::Duration> age) {
+  return age ? base::ToMilliseconds(*age) : -1;
+}
+
 /** The version in use, the newest version known to exist, and the versions
  * before, from which updates for other hosts are made.
  *
@@ -60,6 +74,9 @@
   /** Records that at a time no newer version than that in use was known to the
    * store or the planner. */
   void OnConfirmed(base::Instant confirmed_at);
+  /** Latest time at which the version in use is known to have been the newest;
+   * the zero time if none is known. */
+  base::Instant confirmed_at() const { return this->last_confirmed_at; }
   /** Whether the version in use was the newest a short time ago, so that a
    * request that it does not route can be rejected. */
   bool IsCurrent(base::Instant now) const;
--- a/src/agatepass/pool/messages.h
+++ b/src/agatepass/pool/messages.h
@@ -288,6 +288,9 @@
   /** Version of the configuration by which the planner answered; 0 if it does
    * not say. */
   uint64_t configuration_version = 0;
+  /** How long before the answer that version was last known to be the newest;
+   * unset if the planner does not say. */
+  std::optional<base::Duration> configuration_age;
   /** For a rejection: time after which a retry may succeed. */
   base::Duration retry_after{0};
   std::string detail;
--- a/src/agatepass/pool/peer_call.cpp
+++ b/src/agatepass/pool/peer_call.cpp
@@ -37,6 +37,13 @@
   return base::ParseNumber<uint64_t>(FindParameter(request, name)).value_or(0);
 }
 
+/** Returns how old the configuration of a host is that has sent `in`. */
+std::optional<base::Duration> FindAge(const Json& in) {
+  const auto found = in.find("configuration_age_us");
+  if (found == in.end()) return std::nullopt;
+  return base::Duration(found->get<int64_t>());
+}
+
 Json EncodeQuery(const AdviceQuery& query) {
   Json workers = Json::array();
   for (const base::WorkerId& worker : query.workers) {
@@ -192,6 +199,9 @@
   if (answer.configuration_version != 0) {
     body["configuration"] = answer.configuration_version;
   }
+  if (answer.configuration_age) {
+    body["configuration_age_us"] = answer.configuration_age->count();
+  }
   return {.status = kHttpOk,
           .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)};
 }
@@ -213,6 +223,7 @@
     result.unexamined = in.value("unexamined", false);
     result.counts_pending = in.value("counts_pending", false);
     result.configuration_version = in.value("configuration", uint64_t{0});
+    result.configuration_age = FindAge(in);
     result.retry_after = base::Duration(in.at("retry_us").get<int64_t>());
     result.detail = in.at("detail").get<std::string>();
     return result;
