Give the configuration an age that travels with it

What callers saw: with the watches of planner and standbys silent together, all hosts answered 404 for a queue that had been added and 200 for one that had been dropped, for as long as that lasted.

Cause: a version was taken for the newest as long as nobody had named a newer one. The planner never asked how long ago it had known that, and told each hello its version as if it had just been confirmed; the hosts counted 1.5 s from the hello, whatever the planner's own age.

Change: the replica knows when the store last had nothing newer (the watch's calls, from when they were sent). Hellos' replies carry that age, and each host adds the time since it asked, so that an age is as long on the last host as it really is; a reply without one confirms nothing. A host decides alone, and the planner decides, only while the age is below the platform's bound for a change to be in force (settings, less 0.1 s). While the store does not answer the planner at all it goes on: no version is acknowledged without the store, and a planner whose store answers others is replaced.

ConfigurationReplica.* and CallRouting.APlannerWhoseConfigurationIsNotConfirmedServesNone are new. The changed assertions of DecidesAloneOnlyWhileConfirmedAsTheNewest keep their meaning; the bound counts from the store now and not from the hello.

--- a/src/agatepass/base/http_client.h
+++ b/src/agatepass/base/http_client.h
@@ -108,6 +108,10 @@
    * control traffic. */
   uint64_t bytes_sent() const { return this->sent; }
 
+  /** When bytes last arrived that did not end an answer; the zero time if none
+   * ever did. */
+  Instant partial_answer_at() const { return this->last_partial_answer_at; }
+
   /** Bytes of answers received so far. */
   uint64_t bytes_received() const { return this->received; }
 
@@ -169,6 +173,7 @@
   uint64_t sent = 0;
   uint64_t received = 0;
   uint64_t made = 0;
+  Instant last_partial_answer_at;
 };
 
 }  // namespace agatepass::base
--- a/src/agatepass/base/http_client_connection.cpp
+++ b/src/agatepass/base/http_client_connection.cpp
@@ -201,6 +201,7 @@
       this->EndWithFault("answer too large");
       return true;
     case HttpAnswerParser::Status::kIncomplete:
+      this->client.last_partial_answer_at = this->client.loop.Now();
       break;
   }
   if (this->longest_silence.count() > 0) {
--- a/src/agatepass/pool/call_routing.cpp
+++ b/src/agatepass/pool/call_routing.cpp
@@ -1,6 +1,7 @@
 #include "agatepass/pool/call_routing.h"
 
 #include <algorithm>
+#include <string>
 #include <string_view>
 
 namespace agatepass::pool {
@@ -11,6 +12,12 @@
  * too old for; the planner asks for the newer one meanwhile. */
 constexpr base::Duration kOlderRetryDelay = std::chrono::seconds(1);
 
+CallerAnswer MakeOlderAnswer(std::string_view detail) {
+  return {.code = base::ResultCode::kPeerUnreachable,
+          .retry_after = kOlderRetryDelay,
+          .detail = std::string(detail)};
+}
+
 PeerVerb ResolveVerb(PeerVerb verb, bool has_job) {
   if (verb != PeerVerb::kDescribe && verb != PeerVerb::kCountPending) {
     return verb;
@@ -65,12 +72,13 @@
 }
 
 std::optional<CallerAnswer> RouteOnPlanner(const ConfigurationReplica& replica,
-                                           PeerCall& call) {
+                                           PeerCall& call, base::Instant now) {
   if (std::max(call.newest_version, call.configuration_version) >
       replica.version()) {
-    return CallerAnswer{.code = base::ResultCode::kPeerUnreachable,
-                        .retry_after = kOlderRetryDelay,
-                        .detail = "the planner's configuration is older"};
+    return MakeOlderAnswer("the planner's configuration is older");
+  }
+  if (!replica.MayDecide(now)) {
+    return MakeOlderAnswer("the planner's configuration is not confirmed");
   }
   if (call.configuration_version == replica.version()) return std::nullopt;
   const Routing routing = RouteCall(replica.queues(), call);
--- a/src/agatepass/pool/call_routing.h
+++ b/src/agatepass/pool/call_routing.h
@@ -38,11 +38,12 @@
 /** Has the planner's configuration decide about a call that another host has
  * routed by its own.
  * \param call is routed again if the versions differ.
+ * \param now current time.
  * \return the answer, if the planner must not carry the call out: its
- *     configuration is older than one that the host knows to exist, or has no
- *     queue for the call. */
+ *     configuration is older than one that the host knows to exist, was not
+ *     known to be the newest for too long, or has no queue for the call. */
 std::optional<CallerAnswer> RouteOnPlanner(const ConfigurationReplica& replica,
-                                           PeerCall& call);
+                                           PeerCall& call, base::Instant now);
 
 }  // namespace agatepass::pool
 
--- a/src/agatepass/pool/configuration_replica.cpp
+++ b/src/agatepass/pool/configuration_replica.cpp
@@ -21,13 +21,35 @@
   this->newest = std::max(this->newest, version);
 }
 
-void ConfigurationReplica::OnConfirmed(base::Instant confirmed_at) {
-  this->last_confirmed_at = std::max(this->last_confirmed_at, confirmed_at);
+void ConfigurationReplica::OnNewestAt(uint64_t version, base::Instant at) {
+  this->OnVersionSeen(version);
+  if (version > this->version()) return;
+  this->newest_at = std::max(this->newest_at, std::optional(at));
+}
+
+void ConfigurationReplica::OnStoreAnswered(base::Instant at) {
+  this->store_answered_at = std::max(this->store_answered_at, at);
+}
+
+std::optional<base::Duration> ConfigurationReplica::Age(
+    base::Instant now) const {
+  if (!this->newest_at) return std::nullopt;
+  return std::max(now - *this->newest_at, base::Duration(0));
+}
+
+bool ConfigurationReplica::IsYoung(base::Instant now) const {
+  return this->version() != 0 && this->newest_at &&
+         now - *this->newest_at <= this->max_age;
 }
 
 bool ConfigurationReplica::IsCurrent(base::Instant now) const {
-  return this->version() != 0 && !this->IsBehind() &&
-         now - this->last_confirmed_at <= kMaxConfirmationAge;
+  return this->IsYoung(now) && !this->IsBehind();
+}
+
+bool ConfigurationReplica::MayDecide(base::Instant now) const {
+  if (this->IsYoung(now)) return true;
+  return now - this->store_answered_at > kMaxStoreSilence &&
+         !this->IsBehind() && this->IsYoung(this->store_answered_at);
 }
 
 const std::string& ConfigurationReplica::EncodeUpdateFrom(uint64_t version) {
--- a/src/agatepass/pool/configuration_replica.h
+++ b/src/agatepass/pool/configuration_replica.h
@@ -6,7 +6,6 @@
 #ifndef AGATEPASS_POOL_CONFIGURATION_REPLICA_H_
 #define AGATEPASS_POOL_CONFIGURATION_REPLICA_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -22,35 +21,39 @@
 
 namespace agatepass::pool {
 
-/** Returns the time since `confirmed_at`, never negative; unset if that is. */
-inline std::optional<base::Duration> AgeOf(
-    std::optional<base::Instant> confirmed_at, base::Instant now) {
-  if (!confirmed_at) return std::nullopt;
-  return std::max(now - *confirmed_at, base::Duration(0));
-}
-
 /** Age in whole milliseconds for a log line or a metric; -1 for none. */
 inline int64_t AgeInMilliseconds(std::optional<base::Duration> age) {
   return age ? base::ToMilliseconds(*age) : -1;
 }
 
-/** The version in use, the newest version known to exist, and the versions
- * before, from which updates for other hosts are made.
+/** The version in use, how long ago it was known to be the newest, and the
+ * versions before, from which updates for other hosts are made.
  *
- * The version in use never goes back.
+ * The version in use never goes back. What it may decide depends on its age:
+ * the time since the store was asked and had no newer version, however many
+ * hosts have passed that on.
  *
  * \code
- * ConfigurationReplica replica;
+ * ConfigurationReplica replica(std::chrono::seconds(2));
  * if (replica.Apply(table, revision)) log.Add(now, "configuration applied", ..)
- * const std::string body = replica.EncodeUpdateFrom(version_of_peer);
+ * replica.OnNewestAt(reply.version, sent_at - reply.age);
+ * if (!replica.MayDecide(now)) Reject(call);
  * \endcode
  */
 class ConfigurationReplica {
  public:
-  /** Time since it was last confirmed up to which a copy counts as the newest
-   * one. */
-  static constexpr base::Duration kMaxConfirmationAge =
-      std::chrono::milliseconds(1500);
+  /** Age up to which a version may decide, unless the host sets another. */
+  static constexpr base::Duration kDefaultMaxAge =
+      std::chrono::milliseconds(2400);
+  /** Silence of the store from which on it counts as not answering this host.
+   */
+  static constexpr base::Duration kMaxStoreSilence =
+      std::chrono::milliseconds(1000);
+
+  /** \param max_age age up to which a version may decide: less than the time
+   *     within which an acknowledged version must be in force. */
+  explicit ConfigurationReplica(base::Duration max_age = kDefaultMaxAge)
+      : max_age(max_age) {}
 
   /** Takes a version into use, unless one of this or a later version is in use.
    * \param revision revision at which the store has it.
@@ -71,15 +74,20 @@
   /** Whether a newer version than that in use is known to exist. */
   bool IsBehind() const { return this->newest > this->version(); }
 
-  /** Records that at a time no newer version than that in use was known to the
-   * store or the planner. */
-  void OnConfirmed(base::Instant confirmed_at);
-  /** Latest time at which the version in use is known to have been the newest;
-   * the zero time if none is known. */
-  base::Instant confirmed_at() const { return this->last_confirmed_at; }
-  /** Whether the version in use was the newest a short time ago, so that a
-   * request that it does not route can be rejected. */
+  /** Records that at a time the store had no newer version than `version`. */
+  void OnNewestAt(uint64_t version, base::Instant at);
+  /** Records that the store answered this host at a time or later. */
+  void OnStoreAnswered(base::Instant at);
+  /** Returns how long ago the version in use is known to have been the newest;
+   * unset if it never was. */
+  std::optional<base::Duration> Age(base::Instant now) const;
+
+  /** Whether a host may decide alone, without the planner. */
   bool IsCurrent(base::Instant now) const;
+  /** Whether the planner may decide. While the store does not answer it, it
+   * goes on by what was the newest before: a planner whose store answers others
+   * is replaced, and without the store there are no newer versions. */
+  bool MayDecide(base::Instant now) const;
 
   /** Returns the text of the update to the version in use.
    * \param version version that the receiver has; 0 for none. Of a version not
@@ -87,6 +95,8 @@
   const std::string& EncodeUpdateFrom(uint64_t version);
 
  private:
+  bool IsYoung(base::Instant now) const;
+
   /** Versions kept besides that in use. */
   static constexpr size_t kMaxPrevious = 4;
 
@@ -97,7 +107,9 @@
   /** Texts of updates to the version in use, by the receiver's version. */
   std::map<uint64_t, std::string> encoded_updates;
   uint64_t newest = 0;
-  base::Instant last_confirmed_at;
+  base::Duration max_age;
+  std::optional<base::Instant> newest_at;
+  base::Instant store_answered_at;
 };
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/peer_call.cpp
+++ b/src/agatepass/pool/peer_call.cpp
@@ -23,6 +23,12 @@
  * say. */
 constexpr base::Duration kDefaultPatience = std::chrono::seconds(3);
 
+/** Field with the age of a host's configuration, in microseconds. */
+constexpr char kConfigurationAge[] = "configuration_age_us";
+
+/** Longest age of a configuration that is told apart from an unknown one. */
+constexpr base::Duration kMaxAge = std::chrono::hours(1);
+
 // Indexed by PeerVerb.
 constexpr std::array<std::string_view, 7> kPaths = {
     "/pool/submit", "/pool/describe", "/pool/cancel",       "/pool/pending",
@@ -37,11 +43,12 @@
   return base::ParseNumber<uint64_t>(FindParameter(request, name)).value_or(0);
 }
 
-/** Returns how old the configuration of a host is that has sent `in`. */
+/** Returns how old the configuration of the host is that has sent `in`; unset
+ * if it does not say, or says what cannot be. */
 std::optional<base::Duration> FindAge(const Json& in) {
-  const auto found = in.find("configuration_age_us");
-  if (found == in.end()) return std::nullopt;
-  return base::Duration(found->get<int64_t>());
+  const int64_t age_us = in.value(kConfigurationAge, int64_t{-1});
+  if (age_us < 0 || age_us > kMaxAge.count()) return std::nullopt;
+  return base::Duration(age_us);
 }
 
 Json EncodeQuery(const AdviceQuery& query) {
@@ -200,7 +207,7 @@
     body["configuration"] = answer.configuration_version;
   }
   if (answer.configuration_age) {
-    body["configuration_age_us"] = answer.configuration_age->count();
+    body[kConfigurationAge] = answer.configuration_age->count();
   }
   return {.status = kHttpOk,
           .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)};
@@ -236,6 +243,9 @@
   Json body = {{"revision", reply.revision},
                {"configuration", reply.configuration_version},
                {"hosts", Json::array()}};
+  if (reply.configuration_age) {
+    body[kConfigurationAge] = reply.configuration_age->count();
+  }
   if (reply.store_failing) body["store_failing"] = true;
   if (reply.standby) body["deputy"] = true;
   if (reply.planner) body["planner"] = EncodePlannerEntry(*reply.planner);
@@ -254,6 +264,7 @@
     reply.revision = in.at("revision").get<platform::Revision>();
     reply.planner = DecodePlannerEntry(in.value("planner", ""));
     reply.configuration_version = in.value("configuration", uint64_t{0});
+    reply.configuration_age = FindAge(in);
     reply.store_failing = in.value("store_failing", false);
     reply.standby = in.value("deputy", false);
     for (const Json& host : in.at("hosts")) {
--- a/src/agatepass/pool/peer_call.h
+++ b/src/agatepass/pool/peer_call.h
@@ -50,6 +50,9 @@
   platform::Revision revision = 0;
   /** Version of the configuration in use on the host. */
   uint64_t configuration_version = 0;
+  /** How long before the reply that version was last known to be the newest;
+   * unset if the host does not know or does not say. */
+  std::optional<base::Duration> configuration_age;
   /** Set by the planner: whether its commits to the store fail. */
   bool store_failing = false;
   /** Set by the planner: whether the receiving host is a standby, which polls
--- a/src/agatepass/pool/tests/call_routing_test.cpp
+++ b/src/agatepass/pool/tests/call_routing_test.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr char kHost[] = "a.example";
+constexpr base::Instant kNow{std::chrono::seconds(10)};
 
 Queue MakeQueue(const std::string& name, const std::string& prefix) {
   return {.name = name,
@@ -28,6 +29,7 @@
 ConfigurationReplica MakeReplica(uint64_t version) {
   ConfigurationReplica replica;
   EXPECT_TRUE(replica.Apply(MakeTable(version), 100 + version));
+  replica.OnNewestAt(version, kNow);
   return replica;
 }
 
@@ -47,7 +49,7 @@
   const ConfigurationReplica planner = MakeReplica(12);
   PeerCall call = MakeCall(PeerVerb::kDescribe, "/old/", 9);
   EXPECT_EQ(call.verb, PeerVerb::kCountPending);
-  const auto answer = RouteOnPlanner(planner, call);
+  const auto answer = RouteOnPlanner(planner, call, kNow);
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->code, base::ResultCode::kNotFound);
   EXPECT_TRUE(answer->unknown_queue);
@@ -57,7 +59,7 @@
   const ConfigurationReplica planner = MakeReplica(12);
   PeerCall call = MakeCall(PeerVerb::kSubmit, "/q/new/5c", 9);
   EXPECT_EQ(call.queue, "q");
-  EXPECT_FALSE(RouteOnPlanner(planner, call));
+  EXPECT_FALSE(RouteOnPlanner(planner, call, kNow));
   EXPECT_EQ(call.queue, "new");
   EXPECT_EQ(call.job.value, "5c");
   EXPECT_EQ(call.submission.id.value, "5c");
@@ -68,7 +70,7 @@
   const ConfigurationReplica planner = MakeReplica(12);
   PeerCall call{.verb = PeerVerb::kDescribe,
                 .target = {.host = kHost, .path = "/q/new/"}};
-  EXPECT_FALSE(RouteOnPlanner(planner, call));
+  EXPECT_FALSE(RouteOnPlanner(planner, call, kNow));
   EXPECT_EQ(call.verb, PeerVerb::kCountPending);
   EXPECT_EQ(call.queue, "new");
 }
@@ -79,16 +81,31 @@
   for (const uint64_t host_version : {9, 12}) {
     PeerCall call = MakeCall(PeerVerb::kDescribe, "/q/5c", host_version);
     call.newest_version = 12;
-    const auto answer = RouteOnPlanner(planner, call);
+    const auto answer = RouteOnPlanner(planner, call, kNow);
     ASSERT_TRUE(answer) << host_version;
     EXPECT_EQ(answer->code, base::ResultCode::kPeerUnreachable);
   }
 }
 
+// A planner that had not heard of the store for long served by what it had.
+TEST(CallRouting, APlannerWhoseConfigurationIsNotConfirmedServesNone) {
+  ConfigurationReplica planner = MakeReplica(9);
+  const base::Instant later = kNow + std::chrono::seconds(3);
+  planner.OnStoreAnswered(later);
+  for (const char* path : {"/q/", "/q/5c", "/old/"}) {
+    PeerCall call = MakeCall(PeerVerb::kDescribe, path, 9);
+    EXPECT_FALSE(RouteOnPlanner(planner, call, kNow));
+    const auto answer = RouteOnPlanner(planner, call, later);
+    ASSERT_TRUE(answer) << path;
+    EXPECT_EQ(answer->code, base::ResultCode::kPeerUnreachable);
+    EXPECT_GT(answer->retry_after, base::Duration(0));
+  }
+}
+
 TEST(CallRouting, ACallOfTheSameVersionIsLeftAsItIs) {
   const ConfigurationReplica planner = MakeReplica(12);
   PeerCall call = MakeCall(PeerVerb::kDescribe, "/q/5c", 12);
-  EXPECT_FALSE(RouteOnPlanner(planner, call));
+  EXPECT_FALSE(RouteOnPlanner(planner, call, kNow));
   EXPECT_EQ(call.verb, PeerVerb::kDescribe);
   EXPECT_EQ(call.job.value, "5c");
 }
@@ -166,10 +183,11 @@
 TEST(TeamKeys, ThePlannerDecidesByItsNewerVersion) {
   ConfigurationReplica planner;
   planner.Apply(MakeTableWithTeams(12), 112);
+  planner.OnNewestAt(12, kNow);
   const QueueIndex host(MakeTableWithTeams(9));
   PeerCall revoked = MakeCallWithKey("/q/5c", "old-key");
   ASSERT_EQ(RouteCall(host, revoked), Routing::kRouted);
-  const auto answer = RouteOnPlanner(planner, revoked);
+  const auto answer = RouteOnPlanner(planner, revoked, kNow);
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->code, base::ResultCode::kUnauthenticated);
   PeerCall added = MakeCallWithKey("/q/5c", "new-key");
@@ -177,7 +195,7 @@
   const auto forwarded = DecodePeerCall(EncodePeerCall(added));
   ASSERT_TRUE(forwarded);
   added = *forwarded;
-  EXPECT_FALSE(RouteOnPlanner(planner, added));
+  EXPECT_FALSE(RouteOnPlanner(planner, added, kNow));
   EXPECT_EQ(added.submission.team.value, "a");
   EXPECT_EQ(added.submission.id.value, "5c");
 }
--- a/src/agatepass/pool/tests/configuration_replica_test.cpp
+++ b/src/agatepass/pool/tests/configuration_replica_test.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "agatepass/pool/configuration_fetch.h"
+#include "agatepass/pool/peer_call.h"
 #include "fmt/format.h"
 #include "gtest/gtest.h"
 
@@ -42,21 +43,100 @@
   EXPECT_EQ(replica.revision(), 112);
 }
 
+constexpr base::Duration kMaxAge = milliseconds(2400);
+
 TEST(ConfigurationReplica, DecidesAloneOnlyWhileConfirmedAsTheNewest) {
   const base::Instant now{seconds(10)};
-  ConfigurationReplica replica;
-  replica.OnConfirmed(now);
+  ConfigurationReplica replica(kMaxAge);
+  replica.OnNewestAt(0, now);
   EXPECT_FALSE(replica.IsCurrent(now)) << "there is no version yet";
   replica.Apply(MakeTable(9, 3), 109);
   EXPECT_TRUE(replica.IsCurrent(now));
-  EXPECT_FALSE(replica.IsCurrent(
-      now + ConfigurationReplica::kMaxConfirmationAge + milliseconds(1)));
+  EXPECT_FALSE(replica.IsCurrent(now + kMaxAge + milliseconds(1)));
   replica.OnVersionSeen(12);
   EXPECT_FALSE(replica.IsCurrent(now)) << "a newer version is known";
   replica.Apply(MakeTable(12, 3), 112);
   EXPECT_TRUE(replica.IsCurrent(now));
 }
 
+// A planner whose watch was silent went on by its version without a bound.
+TEST(ConfigurationReplica, DecidesNothingOnceItIsOldWhileTheStoreAnswers) {
+  const base::Instant confirmed{seconds(10)};
+  ConfigurationReplica replica(kMaxAge);
+  replica.Apply(MakeTable(9, 3), 109);
+  EXPECT_FALSE(replica.MayDecide(confirmed)) << "it was never confirmed";
+  replica.OnNewestAt(9, confirmed);
+  EXPECT_TRUE(replica.MayDecide(confirmed + kMaxAge));
+  const base::Instant old = confirmed + kMaxAge + milliseconds(1);
+  replica.OnStoreAnswered(old - milliseconds(300));
+  EXPECT_FALSE(replica.MayDecide(old));
+  replica.OnNewestAt(9, old - milliseconds(100));
+  EXPECT_TRUE(replica.MayDecide(old));
+}
+
+TEST(ConfigurationReplica, GoesOnDecidingWhileTheStoreDoesNotAnswer) {
+  const base::Instant confirmed{seconds(10)};
+  ConfigurationReplica replica(kMaxAge);
+  replica.Apply(MakeTable(9, 3), 109);
+  replica.OnNewestAt(9, confirmed);
+  replica.OnStoreAnswered(confirmed + seconds(1));
+  const base::Instant later = confirmed + seconds(30);
+  EXPECT_TRUE(replica.MayDecide(later));
+  EXPECT_FALSE(replica.IsCurrent(later)) << "but no host alone";
+  replica.OnVersionSeen(12);
+  EXPECT_FALSE(replica.MayDecide(later)) << "a newer version is known";
+}
+
+TEST(ConfigurationReplica, IsOldIfTheStoreAnsweredLongAfterItWasConfirmed) {
+  const base::Instant confirmed{seconds(10)};
+  ConfigurationReplica replica(kMaxAge);
+  replica.Apply(MakeTable(9, 3), 109);
+  replica.OnNewestAt(9, confirmed);
+  replica.OnStoreAnswered(confirmed + kMaxAge + milliseconds(1));
+  EXPECT_FALSE(replica.MayDecide(confirmed + seconds(30)));
+}
+
+// Each host took the planner's word for as fresh as the hello that brought it.
+TEST(ConfigurationReplica, IsAsOldOnAHostAsOnTheHostThatToldIt) {
+  const base::Instant now{seconds(10)};
+  ConfigurationReplica planner(kMaxAge);
+  planner.Apply(MakeTable(9, 3), 109);
+  HelloReply reply{.configuration_version = planner.version(),
+                   .configuration_age = planner.Age(now)};
+  EXPECT_FALSE(DecodeHelloReply(EncodeHelloReply(reply))->configuration_age)
+      << "it was never confirmed";
+  planner.OnNewestAt(9, now - milliseconds(2000));
+  reply.configuration_age = planner.Age(now);
+  const auto told = DecodeHelloReply(EncodeHelloReply(reply));
+  ASSERT_TRUE(told && told->configuration_age);
+  ConfigurationReplica host(kMaxAge);
+  host.Apply(MakeTable(9, 3), 109);
+  host.OnNewestAt(told->configuration_version, now - *told->configuration_age);
+  EXPECT_TRUE(host.IsCurrent(now + milliseconds(400)));
+  EXPECT_FALSE(host.IsCurrent(now + milliseconds(401)));
+}
+
+TEST(ConfigurationReplica, IsNotConfirmedByWordOfANewerVersion) {
+  const base::Instant now{seconds(10)};
+  ConfigurationReplica replica(kMaxAge);
+  replica.Apply(MakeTable(9, 3), 109);
+  replica.OnNewestAt(12, now);
+  EXPECT_FALSE(replica.Age(now));
+  EXPECT_TRUE(replica.IsBehind());
+}
+
+TEST(ConfigurationReplica, AnAgeThatCannotBeIsNone) {
+  for (const char* age : {"-1", "9223372036854775807", "3600000001"}) {
+    const base::HttpAnswer reply{
+        .status = 200,
+        .body = fmt::format(
+            R"({{"revision":1,"hosts":[],"configuration_age_us":{}}})", age)};
+    const auto decoded = DecodeHelloReply(reply);
+    ASSERT_TRUE(decoded) << age;
+    EXPECT_FALSE(decoded->configuration_age) << age;
+  }
+}
+
 TEST(ConfigurationUpdate, TurnsOneVersionIntoTheNext) {
   ConfigurationReplica sender;
   sender.Apply(MakeTable(7, 30), 107);
