Do not take a pause of the planner's process for an outage of the store

A planner goes on by its version while the store does not answer it for 1 s. A process that was stopped and goes on finds the store's last answer that old too, and would have answered what waited on its sockets by its old version before it asked anybody.

The store counts as silent only after 1 s in which this process has checked it at least each 0.5 s. ConfigurationReplica.APauseOfTheProcessIsNoSilenceOfTheStore; with the check left out it is decided by the old version 30 s later.

--- a/src/agatepass/pool/configuration_replica.cpp
+++ b/src/agatepass/pool/configuration_replica.cpp
@@ -27,8 +27,13 @@
   this->newest_at = std::max(this->newest_at, std::optional(at));
 }
 
-void ConfigurationReplica::OnStoreAnswered(base::Instant at) {
-  this->store_answered_at = std::max(this->store_answered_at, at);
+void ConfigurationReplica::OnStoreChecked(base::Instant answered_at,
+                                          base::Instant now) {
+  this->store_answered_at = std::max(this->store_answered_at, answered_at);
+  if (now - this->store_checked_at > kMaxCheckInterval) {
+    this->checking_since = now;
+  }
+  this->store_checked_at = now;
 }
 
 std::optional<base::Duration> ConfigurationReplica::Age(
@@ -46,10 +51,17 @@
   return this->IsYoung(now) && !this->IsBehind();
 }
 
+bool ConfigurationReplica::IsStoreSilent(base::Instant now) const {
+  const base::Instant silent_since =
+      std::max(this->store_answered_at, this->checking_since);
+  return now - silent_since > kMaxStoreSilence &&
+         now - this->store_checked_at <= kMaxCheckInterval;
+}
+
 bool ConfigurationReplica::MayDecide(base::Instant now) const {
   if (this->IsYoung(now)) return true;
-  return now - this->store_answered_at > kMaxStoreSilence &&
-         !this->IsBehind() && this->IsYoung(this->store_answered_at);
+  return this->IsStoreSilent(now) && !this->IsBehind() &&
+         this->IsYoung(this->store_answered_at);
 }
 
 const std::string& ConfigurationReplica::EncodeUpdateFrom(uint64_t version) {
--- a/src/agatepass/pool/configuration_replica.h
+++ b/src/agatepass/pool/configuration_replica.h
@@ -49,6 +49,9 @@
    */
   static constexpr base::Duration kMaxStoreSilence =
       std::chrono::milliseconds(1000);
+  /** Longest interval between two checks of the store. */
+  static constexpr base::Duration kMaxCheckInterval =
+      std::chrono::milliseconds(500);
 
   /** \param max_age age up to which a version may decide: less than the time
    *     within which an acknowledged version must be in force. */
@@ -76,8 +79,10 @@
 
   /** Records that at a time the store had no newer version than `version`. */
   void OnNewestAt(uint64_t version, base::Instant at);
-  /** Records that the store answered this host at a time or later. */
-  void OnStoreAnswered(base::Instant at);
+  /** Records when the store last answered this host, or later; to be called at
+   * short intervals, so that a pause of this process is not taken for silence
+   * of the store. */
+  void OnStoreChecked(base::Instant answered_at, base::Instant now);
   /** Returns how long ago the version in use is known to have been the newest;
    * unset if it never was. */
   std::optional<base::Duration> Age(base::Instant now) const;
@@ -96,6 +101,7 @@
 
  private:
   bool IsYoung(base::Instant now) const;
+  bool IsStoreSilent(base::Instant now) const;
 
   /** Versions kept besides that in use. */
   static constexpr size_t kMaxPrevious = 4;
@@ -110,6 +116,9 @@
   base::Duration max_age;
   std::optional<base::Instant> newest_at;
   base::Instant store_answered_at;
+  base::Instant store_checked_at;
+  /** Since when the store has been checked without a pause. */
+  base::Instant checking_since;
 };
 
 }  // namespace agatepass::pool
--- a/src/agatepass/pool/tests/call_routing_test.cpp
+++ b/src/agatepass/pool/tests/call_routing_test.cpp
@@ -91,7 +91,7 @@
 TEST(CallRouting, APlannerWhoseConfigurationIsNotConfirmedServesNone) {
   ConfigurationReplica planner = MakeReplica(9);
   const base::Instant later = kNow + std::chrono::seconds(3);
-  planner.OnStoreAnswered(later);
+  planner.OnStoreChecked(later, later);
   for (const char* path : {"/q/", "/q/5c", "/old/"}) {
     PeerCall call = MakeCall(PeerVerb::kDescribe, path, 9);
     EXPECT_FALSE(RouteOnPlanner(planner, call, kNow));
--- a/src/agatepass/pool/tests/configuration_replica_test.cpp
+++ b/src/agatepass/pool/tests/configuration_replica_test.cpp
@@ -68,19 +68,28 @@
   replica.OnNewestAt(9, confirmed);
   EXPECT_TRUE(replica.MayDecide(confirmed + kMaxAge));
   const base::Instant old = confirmed + kMaxAge + milliseconds(1);
-  replica.OnStoreAnswered(old - milliseconds(300));
+  replica.OnStoreChecked(old - milliseconds(300), old);
   EXPECT_FALSE(replica.MayDecide(old));
   replica.OnNewestAt(9, old - milliseconds(100));
   EXPECT_TRUE(replica.MayDecide(old));
 }
 
+/** Checks the store each 100 ms, which has last answered at a time. */
+void CheckStore(ConfigurationReplica& replica, base::Instant answered_at,
+                base::Instant from, base::Instant until) {
+  for (base::Instant now = from; now <= until; now += milliseconds(100)) {
+    replica.OnStoreChecked(answered_at, now);
+  }
+}
+
 TEST(ConfigurationReplica, GoesOnDecidingWhileTheStoreDoesNotAnswer) {
   const base::Instant confirmed{seconds(10)};
+  const base::Instant answered = confirmed + seconds(1);
+  const base::Instant later = confirmed + seconds(30);
   ConfigurationReplica replica(kMaxAge);
   replica.Apply(MakeTable(9, 3), 109);
   replica.OnNewestAt(9, confirmed);
-  replica.OnStoreAnswered(confirmed + seconds(1));
-  const base::Instant later = confirmed + seconds(30);
+  CheckStore(replica, answered, answered, later);
   EXPECT_TRUE(replica.MayDecide(later));
   EXPECT_FALSE(replica.IsCurrent(later)) << "but no host alone";
   replica.OnVersionSeen(12);
@@ -88,12 +97,31 @@
 }
 
 TEST(ConfigurationReplica, IsOldIfTheStoreAnsweredLongAfterItWasConfirmed) {
+  const base::Instant confirmed{seconds(10)};
+  const base::Instant answered = confirmed + kMaxAge + milliseconds(1);
+  const base::Instant later = confirmed + seconds(30);
+  ConfigurationReplica replica(kMaxAge);
+  replica.Apply(MakeTable(9, 3), 109);
+  replica.OnNewestAt(9, confirmed);
+  CheckStore(replica, answered, answered, later);
+  EXPECT_FALSE(replica.MayDecide(later));
+}
+
+// A planner that was stopped for a while took the pause for an outage of the
+// store, and answered what had waited by its old version.
+TEST(ConfigurationReplica, APauseOfTheProcessIsNoSilenceOfTheStore) {
   const base::Instant confirmed{seconds(10)};
   ConfigurationReplica replica(kMaxAge);
   replica.Apply(MakeTable(9, 3), 109);
   replica.OnNewestAt(9, confirmed);
-  replica.OnStoreAnswered(confirmed + kMaxAge + milliseconds(1));
-  EXPECT_FALSE(replica.MayDecide(confirmed + seconds(30)));
+  CheckStore(replica, confirmed, confirmed, confirmed + milliseconds(200));
+  const base::Instant resumed = confirmed + seconds(30);
+  EXPECT_FALSE(replica.MayDecide(resumed));
+  CheckStore(replica, confirmed, resumed, resumed + milliseconds(900));
+  EXPECT_FALSE(replica.MayDecide(resumed + milliseconds(900)));
+  CheckStore(replica, confirmed, resumed + seconds(1),
+             resumed + milliseconds(1100));
+  EXPECT_TRUE(replica.MayDecide(resumed + milliseconds(1100)));
 }
 
 // Each host took the planner's word for as fresh as the hello that brought it.
