--- a/src/agatepass/pool/configuration_replica.cpp
+++ b/src/agatepass/pool/configuration_replica.cpp
@@ -44,7 +44,7 @@
 
 bool ConfigurationReplica::IsYoung(base::Instant now) const {
   return this->version() != 0 && this->newest_at &&
-         now - *this->newest_at <= this->max_age;
+         now - *this->newest_at <= this->max_decision_age;
 }
 
 bool ConfigurationReplica::IsCurrent(base::Instant now) const {
--- a/src/agatepass/pool/configuration_replica.h
+++ b/src/agatepass/pool/configuration_replica.h
@@ -56,7 +56,9 @@
   /** \param max_age age up to which a version may decide: less than the time
    *     within which an acknowledged version must be in force. */
   explicit ConfigurationReplica(base::Duration max_age = kDefaultMaxAge)
-      : max_age(max_age) {}
+      : max_decision_age(max_age) {}
+
+  base::Duration max_age() const { return this->max_decision_age; }
 
   /** Takes a version into use, unless one of this or a later version is in use.
    * \param revision revision at which the store has it.
@@ -113,7 +115,7 @@
   /** Texts of updates to the version in use, by the receiver's version. */
   std::map<uint64_t, std::string> encoded_updates;
   uint64_t newest = 0;
-  base::Duration max_age;
+  base::Duration max_decision_age;
   std::optional<base::Instant> newest_at;
   base::Instant store_answered_at;
   base::Instant store_checked_at;
